--- /dev/null
+++ b/src/backend/engines.h
@@ -0,0 +1,63 @@
+// Queries on the engines: started, asked for, fetched, given up.
+#ifndef LEMONCROFT_BACKEND_ENGINES_H_
+#define LEMONCROFT_BACKEND_ENGINES_H_
+
+#include <string>
+
+#include "backend/pool.h"
+#include "broker/request.h"
+#include "lemoncroft/gateway.h"
+
+namespace lemoncroft::backend {
+
+struct Attempt {
+  const broker::Passed* passed = nullptr;  // outlives the attempt
+  EngineId engine = 0;
+  runtime::Time deadline{};
+  double grant_mb = 0;
+  int priority = 1;
+};
+
+struct Result {
+  Outcome outcome = Outcome::kReset;
+  runtime::Span work{};  // what the query needed; zero: not told
+  double memory_mb = 0;
+  std::string rows;
+};
+
+class Engines {
+ public:
+  Engines(runtime::Loop& loop, const membership::Directory& directory, Pool::Limits limits,
+          runtime::Span connect_timeout)
+      : loop_(loop),
+        directory_(directory),
+        pool_(loop, directory, limits),
+        connect_timeout_(connect_timeout) {}
+
+  // One attempt from connection to last page. Ends by the attempt's deadline, or soon after a cancellation.
+  runtime::Task<Result> Run(const Attempt& attempt, runtime::Cancellation& cancel);
+  // Gives what runs a new priority; best effort.
+  void Reprioritise(EngineId engine, std::string id, int priority);
+  runtime::Task<Outcome> Probe(EngineId engine);
+
+  Pool& pool() { return pool_; }
+
+ private:
+  struct Query;
+
+  runtime::Task<runtime::Io> Ask(Query& query, const codec::HttpRequest& request);
+  runtime::Task<Outcome> Start(Query& query);
+  runtime::Task<Outcome> Follow(Query& query);
+  runtime::Task<Outcome> FetchPages(Query& query);
+  runtime::Task<> Settle(Lease busy);
+  runtime::Task<> Order(EngineId engine, std::string method, std::string id, std::string body);
+
+  runtime::Loop& loop_;
+  const membership::Directory& directory_;
+  Pool pool_;
+  runtime::Span connect_timeout_;
+};
+
+}  // namespace lemoncroft::backend
+
+#endif  // LEMONCROFT_BACKEND_ENGINES_H_
--- /dev/null
+++ b/src/backend/pool.cpp
@@ -0,0 +1,113 @@
+#include "backend/pool.h"
+
+namespace lemoncroft::backend {
+
+using runtime::Io;
+using namespace std::chrono_literals;
+
+Lease& Lease::operator=(Lease&& other) noexcept {
+  if (this != &other) {
+    Return();
+    pool_ = std::exchange(other.pool_, nullptr);
+    engine_ = other.engine_;
+    life_ = other.life_;
+    reused_ = other.reused_;
+    connection_ = std::move(other.connection_);
+  }
+  return *this;
+}
+
+void Lease::Return() {
+  if (pool_ != nullptr) pool_->Return(*this);
+  pool_ = nullptr;
+  connection_.reset();
+}
+
+void Pool::Fill(Lease& lease, const membership::Member& member, std::unique_ptr<http::Connection> connection,
+                bool reused) {
+  lease.Return();
+  lease.pool_ = this;
+  lease.engine_ = member.entry.engine;
+  lease.life_ = member.life;
+  lease.reused_ = reused;
+  lease.connection_ = std::move(connection);
+}
+
+void Pool::Return(Lease& lease) {
+  const membership::Member* member = directory_.Find(lease.engine_);
+  if (member != nullptr && member->life == lease.life_ && lease.connection_->Reusable()) {
+    idle_[lease.engine_].push_back({std::move(lease.connection_), runtime::Now()});
+  } else {
+    --open_;
+  }
+}
+
+runtime::Task<Io> Pool::Acquire(EngineId engine, runtime::Time deadline, runtime::Cancellation* cancel,
+                                Lease& out) {
+  const membership::Member* member = directory_.Find(engine);
+  if (member == nullptr) co_return Io::kClosed;
+  auto& idle = idle_[engine];
+  while (!idle.empty()) {
+    std::unique_ptr<http::Connection> connection = std::move(idle.back().connection);
+    idle.pop_back();
+    if (connection->Reusable()) {
+      Fill(out, *member, std::move(connection), true);
+      co_return Io::kOk;
+    }
+    --open_;
+  }
+  if (open_ >= limits_.connections && !EvictOne()) co_return Io::kNoDescriptors;
+  const std::uint64_t life = member->life;
+  std::unique_ptr<runtime::Socket> socket;
+  ++open_;  // counted before it is up, so that many at a time can't pass the limit
+  Io io = Io::kClosed;
+  try {
+    io = co_await Connect(loop_, member->address, deadline, cancel, socket);
+  } catch (...) {
+    --open_;
+    throw;
+  }
+  // The list may have changed meanwhile: the address may be another engine's now.
+  member = directory_.Find(engine);
+  if (io == Io::kOk && (member == nullptr || member->life != life)) io = Io::kClosed;
+  if (io != Io::kOk) {
+    --open_;
+    co_return io;
+  }
+  Fill(out, *member, std::make_unique<http::Connection>(std::move(socket), member->host_port), false);
+  co_return Io::kOk;
+}
+
+void Pool::Drop(EngineId engine) {
+  const auto it = idle_.find(engine);
+  if (it == idle_.end()) return;
+  open_ -= it->second.size();
+  it->second.clear();
+}
+
+// Makes room: the engine with the most idle connections loses the one that has been idle longest.
+bool Pool::EvictOne() {
+  std::deque<Idle>* most = nullptr;
+  for (auto& [id, idle] : idle_) {
+    if (!idle.empty() && (most == nullptr || idle.size() > most->size())) most = &idle;
+  }
+  if (most == nullptr) return false;
+  most->pop_front();
+  --open_;
+  return true;
+}
+
+runtime::Task<> Pool::CloseIdle() {
+  for (;;) {
+    co_await loop_.Sleep(500ms);
+    const runtime::Time before = runtime::Now() - limits_.idle;
+    for (auto& [id, idle] : idle_) {
+      while (!idle.empty() && idle.front().since < before) {
+        idle.pop_front();
+        --open_;
+      }
+    }
+  }
+}
+
+}  // namespace lemoncroft::backend
--- /dev/null
+++ b/src/backend/pool.h
@@ -0,0 +1,78 @@
+// Connections to the engines, kept per engine id: a new engine may have the address of one that has gone.
+#ifndef LEMONCROFT_BACKEND_POOL_H_
+#define LEMONCROFT_BACKEND_POOL_H_
+
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <memory>
+
+#include "http/connection.h"
+#include "lemoncroft/gateway.h"
+#include "membership/directory.h"
+#include "runtime/loop.h"
+
+namespace lemoncroft::backend {
+
+class Pool;
+
+// A connection taken from the pool; goes back there by itself if it is fit for another call.
+class Lease {
+ public:
+  Lease() = default;
+  Lease(Lease&& other) noexcept { *this = std::move(other); }
+  Lease& operator=(Lease&& other) noexcept;
+  ~Lease() { Return(); }
+
+  http::Connection* operator->() const { return connection_.get(); }
+  explicit operator bool() const { return connection_ != nullptr; }
+  bool reused() const { return reused_; }
+  void Return();
+
+ private:
+  friend class Pool;
+  Pool* pool_ = nullptr;
+  EngineId engine_ = 0;
+  std::uint64_t life_ = 0;  // of the engine
+  bool reused_ = false;
+  std::unique_ptr<http::Connection> connection_;
+};
+
+class Pool {
+ public:
+  struct Limits {
+    std::size_t connections = 512;  // to all engines together, idle ones too
+    runtime::Span idle{};           // an idle connection is closed after this: before the engine does
+  };
+
+  Pool(runtime::Loop& loop, const membership::Directory& directory, Limits limits)
+      : loop_(loop), directory_(directory), limits_(limits) {}
+
+  // An idle connection or a new one. kNoDescriptors where this process has none to spare.
+  runtime::Task<runtime::Io> Acquire(EngineId engine, runtime::Time deadline, runtime::Cancellation* cancel,
+                                     Lease& out);
+  void Drop(EngineId engine);  // its idle connections
+  runtime::Task<> CloseIdle();
+
+ private:
+  friend class Lease;
+  struct Idle {
+    std::unique_ptr<http::Connection> connection;
+    runtime::Time since;
+  };
+
+  void Fill(Lease& lease, const membership::Member& member, std::unique_ptr<http::Connection> connection,
+            bool reused);
+  void Return(Lease& lease);
+  bool EvictOne();
+
+  runtime::Loop& loop_;
+  const membership::Directory& directory_;
+  Limits limits_;
+  std::map<EngineId, std::deque<Idle>> idle_;  // the latest used last
+  std::size_t open_ = 0;
+};
+
+}  // namespace lemoncroft::backend
+
+#endif  // LEMONCROFT_BACKEND_POOL_H_
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -2,11 +2,12 @@
 
 #include <algorithm>
 #include <bit>
-#include <charconv>
 #include <cmath>
 #include <limits>
 #include <utility>
 
+#include "settings/settings.h"
+
 namespace lemoncroft::benchlink {
 namespace {
 
@@ -132,209 +133,14 @@
   return e;
 }
 
-// The settings text as a map, with typed reads that name the key when they fail.
-class Pairs {
- public:
-  explicit Pairs(std::string_view text) {
-    std::size_t line_no = 0;
-    while (!text.empty()) {
-      ++line_no;
-      std::size_t end = text.find('\n');
-      std::string_view line = text.substr(0, end);
-      text = end == std::string_view::npos ? std::string_view() : text.substr(end + 1);
-      if (line.empty()) continue;
-      std::size_t eq = line.find('=');
-      if (eq == std::string_view::npos) {
-        throw WireError("setup line " + std::to_string(line_no) + " is not path=value");
-      }
-      values_.insert_or_assign(std::string(line.substr(0, eq)), std::string(line.substr(eq + 1)));
-    }
-  }
-
-  bool Has(const std::string& key) const {
-    auto it = values_.find(key);
-    return it != values_.end() && !it->second.empty();
-  }
-  std::string Text(const std::string& key) const {
-    auto it = values_.find(key);
-    return it == values_.end() ? std::string() : it->second;
-  }
-  double Number(const std::string& key, double absent = 0) const {
-    return Has(key) ? ToNumber(key, Text(key)) : absent;
-  }
-  Nanos Time(const std::string& key) const {
-    double v = Number(key);
-    if (v < 0 || v > 9e17) Unreadable(key, Text(key));
-    return static_cast<Nanos>(v);
-  }
-  // A count or index, bounded so that a wrong value cannot ask for endless work.
-  int Count(const std::string& key, int absent = 0) const {
-    double v = Number(key, absent);
-    if (v < 0 || v > 1e6 || v != std::floor(v)) Unreadable(key, Text(key));
-    return static_cast<int>(v);
-  }
-  bool Flag(const std::string& key) const {
-    if (!Has(key)) return false;
-    std::string v = Text(key);
-    if (v != "true" && v != "false") Unreadable(key, v);
-    return v == "true";
-  }
-  std::vector<std::string> List(const std::string& key) const {
-    std::vector<std::string> out;
-    std::string text = Text(key);
-    for (std::size_t from = 0; from < text.size();) {
-      std::size_t comma = std::min(text.find(',', from), text.size());
-      out.push_back(text.substr(from, comma - from));
-      from = comma + 1;
-    }
-    return out;
-  }
-  std::vector<double> Numbers(const std::string& key) const {
-    std::vector<double> out;
-    for (const std::string& item : List(key)) out.push_back(ToNumber(key, item));
-    return out;
-  }
-  // Values written as a position in `names` or as one of the names.
-  std::vector<std::uint16_t> Positions(const std::string& key, const std::vector<std::string>& names) const {
-    std::vector<std::uint16_t> out;
-    for (const std::string& item : List(key)) {
-      auto it = std::find(names.begin(), names.end(), item);
-      double v = it != names.end() ? static_cast<double>(it - names.begin()) : ToNumber(key, item);
-      if (v < 0 || v > 65535 || v != std::floor(v)) Unreadable(key, item);
-      out.push_back(static_cast<std::uint16_t>(v));
-    }
-    return out;
-  }
-  template <typename T>
-  T OneOf(const std::string& key, std::initializer_list<std::pair<const char*, T>> choices, T absent) const {
-    if (!Has(key)) return absent;
-    for (const auto& [name, value] : choices) {
-      if (Text(key) == name) return value;
-    }
-    Unreadable(key, Text(key));
-  }
-
- private:
-  [[noreturn]] static void Unreadable(const std::string& key, const std::string& value) {
-    throw WireError("setup: unreadable value '" + value + "' of " + key);
-  }
-  static double ToNumber(const std::string& key, const std::string& text) {
-    double v = 0;
-    auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), v);
-    if (error != std::errc() || end != text.data() + text.size() || !std::isfinite(v)) Unreadable(key, text);
-    return v;
-  }
-
-  std::map<std::string, std::string> values_;
-};
-
-ClassSettings ParseClass(const Pairs& in, int index, const std::vector<std::string>& zones,
-                         const std::vector<std::string>& kinds) {
-  const std::string p = "requestClasses." + std::to_string(index) + ".";
-  ClassSettings c;
-  c.aim = in.Time(p + "promiseNs");
-  c.aim_stretch = in.Number(p + "aimStretch");
-  c.deadline = in.Time(p + "deadlineNs");
-  c.worth = in.Number(p + "credit", 1);
-  c.late_worth = in.Number(p + "lateWorth");
-  c.effect = in.OneOf<Effect>(
-      p + "effect", {{"pure", Effect::kSafe}, {"token", Effect::kKeyed}, {"side_effect", Effect::kUnsafe}},
-      Effect::kSafe);
-  c.group = in.OneOf<RepeatGroup>(
-      p + "group", {{"all", RepeatGroup::kAll}, {"zone", RepeatGroup::kZone}, {"cell", RepeatGroup::kCell}},
-      RepeatGroup::kAll);
-  c.repeat_window = in.Time(p + "repeatWindowNs");
-  c.in_order = in.Flag(p + "fifoByKey");
-  c.streaming = in.Flag(p + "streaming");
-  c.zones = in.Positions(p + "staysIn", zones);
-  c.kinds = in.Positions(p + "boundTo", kinds);
-  return c;
-}
-
-void ParseSpecifics(const Pairs& in, Settings& s) {
-  auto threads = in.Numbers("specifics.threadsByClass");
-  auto holds = in.List("specifics.holdsTables");
-  auto blocked = in.List("specifics.blockedByLoads");
-  for (std::size_t i = 0; i < s.classes.size(); ++i) {
-    if (i < threads.size()) s.classes[i].threads = static_cast<int>(std::clamp(threads[i], 1.0, 1e4));
-    if (i < holds.size()) s.classes[i].holds_tables = holds[i] == "true";
-    if (i < blocked.size()) s.classes[i].blocked_by_loads = blocked[i] == "true";
-  }
-  auto cores = in.Numbers("specifics.cpuOfKind");
-  auto memory = in.Numbers("specifics.ramOfKindMb");
-  s.kinds.resize(std::max(cores.size(), memory.size()));
-  for (std::size_t i = 0; i < cores.size(); ++i) s.kinds[i].cores = cores[i];
-  for (std::size_t i = 0; i < memory.size(); ++i) s.kinds[i].memory_mb = memory[i];
-  s.grants_heeded = in.Flag("specifics.takesGrants");
-  s.priorities_heeded = in.Flag("specifics.ranksHeeded");
-  s.max_grant_share = in.Number("specifics.maxGrantShare", 1);
-  s.memory_short = in.OneOf<MemoryShort>(
-      "specifics.memoryShort",
-      {{"queue", MemoryShort::kQueue}, {"trim", MemoryShort::kTrim}, {"swap", MemoryShort::kSwap}},
-      MemoryShort::kTrim);
-  s.progress_every = in.Time("specifics.progressNs");
-  s.tells_cost = in.Flag("specifics.saysCost");
-}
-
-ReportField ToField(const std::string& name) {
-  static constexpr std::pair<const char*, ReportField> kFields[] = {{"inflight", ReportField::kInflight},
-                                                                    {"queue", ReportField::kQueue},
-                                                                    {"util", ReportField::kUtil},
-                                                                    {"latency_ms", ReportField::kLatencyMs},
-                                                                    {"qps", ReportField::kQps},
-                                                                    {"eps", ReportField::kEps},
-                                                                    {"x0", ReportField::kX0},
-                                                                    {"x1", ReportField::kX1}};
-  for (const auto& [field, value] : kFields) {
-    if (name == field) return value;
-  }
-  return ReportField::kOther;
-}
-
 }  // namespace
 
 Settings ParseSettings(std::string_view text) {
-  Pairs in(text);
-  Settings s;
-  const auto zones = in.List("dcs");
-  const auto kinds = in.List("flavors");
-  s.gateways = in.Count("siblings", 1);
-  s.self = in.Count("me");
-  s.zone = static_cast<std::uint16_t>(in.Count("zone"));
-  s.tick = in.Time("tickNs");
-  const int classes = in.Count("requestClasses.count");
-  for (int i = 0; i < classes; ++i) s.classes.push_back(ParseClass(in, i, zones, kinds));
-  const int tenants = in.Count("tenants.count");
-  for (int i = 0; i < tenants; ++i) {
-    s.tenants.push_back({in.Number("tenants." + std::to_string(i) + ".quotaPerS")});
-  }
-  s.over_share_worth = in.Number("overShareWorth", 1);
-  for (const std::string& field : in.List("report.fields")) s.report_fields.push_back(ToField(field));
-
-  s.drain_grace = in.Time("guarantees.drainGraceNs");
-  s.cold_from = in.Number("guarantees.coldFrom");
-  s.warm_within = in.Time("guarantees.warmWithinNs");
-  s.overload_multiple = in.Number("guarantees.overloadFactor");
-  s.fall_window = in.Time("guarantees.fallNs");
-  s.order_settle = in.Time("guarantees.orderPauseNs");
-  s.must_ask_within = in.Time("guarantees.mustAskInNs");
-  if (in.Has("guarantees.lookBackNs")) {
-    s.attempt_budget = AttemptBudget{in.Number("guarantees.freeResends"), in.Number("guarantees.extraRatio"),
-                                     in.Time("guarantees.lookBackNs")};
+  try {
+    return settings::ParseSite(settings::Pairs::FromLines(text)).module;
+  } catch (const settings::SettingsError& e) {
+    throw WireError(std::string("setup: ") + e.what());
   }
-  s.list_on_request = in.Text("membershipMode") == "on_request";
-  s.may_cancel = in.Flag("limits.cancel");
-  s.may_probe = in.Flag("limits.probing");
-  s.may_copy = in.Flag("limits.mayDuplicate");
-  s.may_message = in.Flag("limits.peers");
-  s.may_advise = in.Flag("limits.retryAfter");
-  s.max_attempts = in.Count("limits.maxAttempts", 1);
-  s.max_come_back = in.Time("limits.maxRetryAfterNs");
-  s.connect_timeout = in.Time("limits.connectTimeoutNs");
-  s.late_fail_price = in.Number("prices.lateFail");
-  s.cross_zone_price = in.Number("prices.crossZone");
-  ParseSpecifics(in, s);
-  return s;
 }
 
 BatchHeader DecodeHeader(std::string_view header) {
--- /dev/null
+++ b/src/broker/broker.cpp
@@ -0,0 +1,228 @@
+#include "broker/broker.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+
+namespace lemoncroft::broker {
+
+using runtime::Now;
+using runtime::Span;
+using runtime::Task;
+using runtime::Time;
+using namespace std::chrono_literals;
+
+namespace {
+
+// An attempt ends this long before its client gives up: time for the module to say the last word.
+constexpr auto kLastWord = 12ms;
+// Past the client's deadline the guard answers, whatever the module or an engine is doing.
+constexpr auto kGuard = 8ms;
+
+template <typename... F>
+struct Overloaded : F... {
+  using F::operator()...;
+};
+
+}  // namespace
+
+Broker::Broker(runtime::Loop& loop, const settings::Site& site, std::uint64_t seed, backend::Engines& engines,
+               Limits limits)
+    : loop_(loop),
+      site_(site),
+      engines_(engines),
+      limits_(limits),
+      host_(loop, site.module, seed, [this](const Action& action) { CarryOut(action); }) {}
+
+RequestId Broker::Take(ClientRequest request, std::unique_ptr<AnswerSink> sink) {
+  const std::size_t bytes = request.passed.bytes();
+  // Refused before the module hears of it: nothing ran, and the process lives.
+  if (closed_ || lives_.size() >= limits_.requests || bytes_ + bytes > limits_.bytes) {
+    sink->Finish({Verdict::kRefused, ToSpan(site_.module.max_come_back), {}});
+    return 0;
+  }
+  auto life = std::make_shared<Life>();
+  life->id = next_id_++;
+  life->request = std::move(request);
+  life->sink = std::move(sink);
+  lives_.emplace(life->id, life);
+  ++open_;
+  bytes_ += bytes;
+  const RequestId id = life->id;
+  loop_.Spawn(Live(std::move(life)));
+  return id;
+}
+
+void Broker::Abandon(RequestId id) { Deliver(id, Abandoned{}); }
+
+// The life of a request. Until it is answered: what the module decides is done, what attempts bring is told.
+// After that, what still runs is given up and its end is told too, since the module waits for it.
+Task<> Broker::Live(LifePtr life) {
+  host_.Post(Described(*life));
+  const Time guard = life->request.deadline + kGuard;
+  for (bool answered = false; !answered;) {
+    News news = co_await Next(*life, guard);
+    answered = std::visit(Overloaded{
+                              [&](const Terms& terms) {
+                                ApplyTerms(*life, terms);
+                                return false;
+                              },
+                              [&](const Send& send) {
+                                StartAttempt(life, send);
+                                return false;
+                              },
+                              [&](const Cancel& cancel) {
+                                const auto number = static_cast<std::size_t>(cancel.attempt);
+                                if (number < life->attempts.size()) life->attempts[number]->cancel.Cancel();
+                                return false;
+                              },
+                              [&](const Refuse& refuse) {
+                                life->sink->Finish({Verdict::kRefused, ToSpan(refuse.come_back), {}});
+                                return true;
+                              },
+                              [&](const Fail&) {
+                                life->sink->Finish({Verdict::kFailed, {}, {}});
+                                return true;
+                              },
+                              [&](Ended& ended) {
+                                const bool served = ended.result.outcome == Outcome::kOk;
+                                if (served)
+                                  life->sink->Finish({Verdict::kServed, {}, std::move(ended.result.rows)});
+                                TellEnded(*life, ended, served);
+                                return served;
+                              },
+                              [&](const Abandoned&) {
+                                host_.Post(ClientGone{life->id});
+                                return true;
+                              },
+                              [&](const Overdue&) {
+                                spdlog::warn("request {}: answered by the guard", life->request.passed.id);
+                                life->sink->Finish({Verdict::kFailed, {}, {}});
+                                host_.Post(ClientGone{life->id});
+                                return true;
+                              },
+                          },
+                          news);
+  }
+  --open_;
+  bytes_ -= life->request.passed.bytes();
+  life->sink.reset();
+  for (const auto& running : life->attempts) running->cancel.Cancel();
+  const auto out = [&] {
+    return std::any_of(life->attempts.begin(), life->attempts.end(), [](const auto& a) { return a->out; });
+  };
+  while (out()) {
+    const News news = co_await Next(*life, runtime::kNever);
+    if (const auto* ended = std::get_if<Ended>(&news)) TellEnded(*life, *ended, true);
+  }
+  lives_.erase(life->id);
+}
+
+Task<Broker::News> Broker::Next(Life& life, Time guard) {
+  while (life.inbox.empty()) {
+    const runtime::Wake wake = co_await runtime::Waiter(loop_, &life.arrived, guard);
+    if (wake == runtime::Wake::kTimeout) co_return Overdue{};
+  }
+  News news = std::move(life.inbox.front());
+  life.inbox.pop_front();
+  co_return news;
+}
+
+void Broker::StartAttempt(const LifePtr& life, const Send& send) {
+  const Time now = Now();
+  const Time last = life->request.deadline - kLastWord;
+  auto running = std::make_unique<Running>();
+  running->engine = send.engine;
+  running->started = now;
+  const int number = static_cast<int>(life->attempts.size());
+  life->attempts.push_back(std::move(running));
+  backend::Attempt attempt;
+  attempt.passed = &life->request.passed;
+  attempt.engine = send.engine;
+  attempt.deadline = send.timeout > 0 ? std::min(last, now + ToSpan(send.timeout)) : last;
+  attempt.grant_mb = life->terms.grant_mb;
+  attempt.priority = life->terms.priority;
+  loop_.Spawn(RunAttempt(life, number, attempt));
+}
+
+Task<> Broker::RunAttempt(LifePtr life, int number, backend::Attempt attempt) {
+  Ended ended{number, {}};
+  // Whatever goes wrong in here, the module is owed an outcome; that it never ran can't be claimed then.
+  try {
+    ended.result = co_await engines_.Run(attempt, life->attempts[static_cast<std::size_t>(number)]->cancel);
+  } catch (const std::exception& e) {
+    spdlog::error("request {}: attempt {} broke off: {}", life->request.passed.id, number, e.what());
+  }
+  life->attempts[static_cast<std::size_t>(number)]->out = false;
+  life->inbox.push_back(std::move(ended));
+  life->arrived.Open();
+}
+
+void Broker::ApplyTerms(Life& life, const Terms& terms) {
+  const bool changed = terms.priority != life.terms.priority;
+  life.terms = terms;
+  if (!changed) return;
+  for (const auto& running : life.attempts) {
+    if (running->out) engines_.Reprioritise(running->engine, life.request.passed.id, terms.priority);
+  }
+}
+
+void Broker::TellEnded(const Life& life, const Ended& ended, bool finished) {
+  const Running& running = *life.attempts[static_cast<std::size_t>(ended.attempt)];
+  AttemptEnded event;
+  event.id = life.id;
+  event.attempt = ended.attempt;
+  event.engine = running.engine;
+  event.outcome = ended.result.outcome;
+  event.waited = ToNanos(Now() - running.started);
+  event.finished = finished;
+  event.work = ToNanos(ended.result.work);
+  event.memory_mb = ended.result.memory_mb;
+  if (event.outcome != Outcome::kOk) {
+    spdlog::debug("request {}: attempt {} at {} ended {} after {} ms", life.request.passed.id, ended.attempt,
+                  running.engine, static_cast<int>(event.outcome), event.waited / 1'000'000);
+  }
+  host_.Post(event);
+}
+
+Event Broker::Described(const Life& life) const {
+  const ClientRequest& from = life.request;
+  Request request;
+  request.id = life.id;
+  request.klass = from.klass;
+  request.tenant = from.tenant;
+  request.patience = std::max<Nanos>(0, ToNanos(from.deadline - Now()));
+  request.est_work = ToNanos(from.est_work);
+  request.est_memory_mb = from.est_memory_mb;
+  request.tables = from.tables;
+  return request;
+}
+
+void Broker::CarryOut(const Action& action) {
+  std::visit(Overloaded{
+                 [&](const Probe& probe) { loop_.Spawn(RunProbe(probe.engine)); },
+                 [](const LogLine& line) { spdlog::info("module: {}", line.text); },
+                 [](const WakeAt&) {},     // the host's own
+                 [](const WatchList&) {},  // the control feed is always followed
+                 [&](const auto& about) { Deliver(about.id, about); },
+             },
+             action);
+}
+
+Task<> Broker::RunProbe(EngineId engine) {
+  const Time started = Now();
+  Probed probed;
+  probed.engine = engine;
+  probed.outcome = co_await engines_.Probe(engine);
+  probed.waited = ToNanos(Now() - started);
+  host_.Post(probed);
+}
+
+void Broker::Deliver(RequestId id, News news) {
+  const auto it = lives_.find(id);
+  if (it == lives_.end()) return;
+  it->second->inbox.push_back(std::move(news));
+  it->second->arrived.Open();
+}
+
+}  // namespace lemoncroft::broker
--- /dev/null
+++ b/src/broker/broker.h
@@ -0,0 +1,97 @@
+// The life of every request between its taking and its one final answer, in terms of no protocol.
+//
+// A front end hands in a ClientRequest and an AnswerSink; the decision module says where attempts go and when
+// a request is given up; the back end runs the attempts.
+#ifndef LEMONCROFT_BROKER_BROKER_H_
+#define LEMONCROFT_BROKER_BROKER_H_
+
+#include <cstdint>
+#include <deque>
+#include <memory>
+#include <unordered_map>
+#include <variant>
+#include <vector>
+
+#include "backend/engines.h"
+#include "broker/module_host.h"
+#include "broker/request.h"
+#include "lemoncroft/gateway.h"
+#include "runtime/loop.h"
+#include "settings/settings.h"
+
+namespace lemoncroft::broker {
+
+class Broker {
+ public:
+  struct Limits {
+    std::size_t requests = 4096;                // open at a time
+    std::size_t bytes = std::size_t{48} << 20;  // that they hold
+  };
+
+  Broker(runtime::Loop& loop, const settings::Site& site, std::uint64_t seed, backend::Engines& engines,
+         Limits limits);
+
+  void Start() { loop_.Spawn(host_.Run()); }
+  // Takes a request; its answer may come within the call. Returns the number to abandon it by.
+  RequestId Take(ClientRequest request, std::unique_ptr<AnswerSink> sink);
+  // Nobody waits for the answer any more: none will be given.
+  void Abandon(RequestId id);
+  void TellList(EngineList list) { host_.Post(std::move(list)); }
+  // From now on new requests are refused: the process is about to end.
+  void Close() { closed_ = true; }
+  std::size_t open() const { return open_; }  // requests without a final answer
+
+ private:
+  struct Ended {
+    int attempt = 0;
+    backend::Result result;
+  };
+  struct Abandoned {};
+  struct Overdue {};
+  using News = std::variant<Terms, Send, Cancel, Refuse, Fail, Ended, Abandoned, Overdue>;
+
+  struct Running {
+    EngineId engine = 0;
+    runtime::Time started{};
+    bool out = true;
+    runtime::Cancellation cancel;
+  };
+
+  struct Life {
+    RequestId id = 0;
+    ClientRequest request;
+    std::unique_ptr<AnswerSink> sink;
+    Terms terms;
+    std::vector<std::unique_ptr<Running>> attempts;  // by number
+    std::deque<News> inbox;
+    runtime::Gate arrived;
+  };
+  using LifePtr = std::shared_ptr<Life>;
+
+  runtime::Task<> Live(LifePtr life);
+  runtime::Task<News> Next(Life& life, runtime::Time guard);
+  void StartAttempt(const LifePtr& life, const Send& send);
+  runtime::Task<> RunAttempt(LifePtr life, int number, backend::Attempt attempt);
+  void ApplyTerms(Life& life, const Terms& terms);
+  void TellEnded(const Life& life, const Ended& ended, bool finished);
+  runtime::Task<> RunProbe(EngineId engine);
+
+  void CarryOut(const Action& action);
+  void Deliver(RequestId id, News news);
+  Event Described(const Life& life) const;
+
+  runtime::Loop& loop_;
+  const settings::Site& site_;
+  backend::Engines& engines_;
+  Limits limits_;
+  ModuleHost host_;
+  std::unordered_map<RequestId, LifePtr> lives_;
+  RequestId next_id_ = 1;
+  std::size_t open_ = 0;
+  std::size_t bytes_ = 0;
+  bool closed_ = false;
+};
+
+}  // namespace lemoncroft::broker
+
+#endif  // LEMONCROFT_BROKER_BROKER_H_
--- /dev/null
+++ b/src/broker/module_clock.h
@@ -0,0 +1,33 @@
+// The one place where the program's durations and points in time meet the module's Nanos.
+//
+// The module's clock is the Unix time at this process's start plus what the steady clock has counted since:
+// it never runs backwards, and the Unix times of the control feed need no further offset.
+#ifndef LEMONCROFT_BROKER_MODULE_CLOCK_H_
+#define LEMONCROFT_BROKER_MODULE_CLOCK_H_
+
+#include <chrono>
+
+#include "lemoncroft/gateway.h"
+#include "runtime/loop.h"
+
+namespace lemoncroft::broker {
+
+constexpr runtime::Span ToSpan(Nanos nanos) { return runtime::Span(nanos); }
+constexpr Nanos ToNanos(runtime::Span span) { return span.count(); }
+
+class ModuleClock {
+ public:
+  ModuleClock()
+      : offset_(std::chrono::system_clock::now().time_since_epoch() - runtime::Now().time_since_epoch()) {}
+
+  Nanos At(runtime::Time time) const { return ToNanos(time.time_since_epoch() + offset_); }
+  runtime::Time ToTime(Nanos at) const { return runtime::Time(ToSpan(at) - offset_); }
+  static Nanos AtUnix(std::chrono::milliseconds since_epoch) { return ToNanos(since_epoch); }
+
+ private:
+  runtime::Span offset_;
+};
+
+}  // namespace lemoncroft::broker
+
+#endif  // LEMONCROFT_BROKER_MODULE_CLOCK_H_
--- /dev/null
+++ b/src/broker/request.h
@@ -0,0 +1,49 @@
+// A request and its answer as the broker knows them, whatever protocol they came by.
+#ifndef LEMONCROFT_BROKER_REQUEST_H_
+#define LEMONCROFT_BROKER_REQUEST_H_
+
+#include <cstdint>
+#include <string>
+
+#include "runtime/loop.h"
+
+namespace lemoncroft::broker {
+
+// What goes on to the engine as the bytes that came.
+struct Passed {
+  std::string id;
+  std::string lane;
+  std::string dedupe;  // empty: none
+  std::string statement;
+
+  std::size_t bytes() const { return id.size() + lane.size() + dedupe.size() + statement.size(); }
+};
+
+struct ClientRequest {
+  Passed passed;
+  std::uint16_t klass = 0;
+  std::uint16_t tenant = 0;
+  std::uint32_t tables = 0;
+  runtime::Time deadline{};  // when the client stops waiting
+  runtime::Span est_work{};  // zero: no estimate
+  double est_memory_mb = 0;  // likewise
+};
+
+enum class Verdict { kServed, kRefused, kFailed };
+
+struct Answer {
+  Verdict verdict = Verdict::kFailed;
+  runtime::Span come_back{};  // of a refusal; zero: no advice
+  std::string rows;           // of a served request
+};
+
+// Where one request's final answer goes. Called once at the most, and not after Broker::Abandon.
+class AnswerSink {
+ public:
+  virtual ~AnswerSink() = default;
+  virtual void Finish(const Answer& answer) = 0;
+};
+
+}  // namespace lemoncroft::broker
+
+#endif  // LEMONCROFT_BROKER_REQUEST_H_
--- /dev/null
+++ b/src/cli/config.h
@@ -0,0 +1,43 @@
+// The proxy's configuration: the JSON file that PROXY_CONFIG names.
+#ifndef LEMONCROFT_CLI_CONFIG_H_
+#define LEMONCROFT_CLI_CONFIG_H_
+
+#include <cstdint>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+
+#include "codec/json.h"
+#include "runtime/socket.h"
+#include "settings/settings.h"
+
+namespace lemoncroft::cli {
+
+// What is wrong with a configuration, in one plain line.
+class ConfigError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+struct Config {
+  std::string name;
+  std::string listen_text;
+  runtime::Address listen;
+  std::uint64_t seed = 0;
+  std::size_t memory_mb = 0;  // 0 = not told
+  std::size_t sockets = 0;    // likewise
+  std::string feed;           // empty: none is followed
+  codec::Json known;          // the control feed's events up to now
+  settings::Site site;
+};
+
+// Throws ConfigError.
+Config ReadConfig(std::string_view text);
+Config LoadConfig(const std::string& path);
+
+// Nested JSON as path=value pairs in the form of the simulator's first message.
+settings::Pairs Flatten(const codec::Json& settings);
+
+}  // namespace lemoncroft::cli
+
+#endif  // LEMONCROFT_CLI_CONFIG_H_
--- /dev/null
+++ b/src/cli/proxy.cpp
@@ -0,0 +1,132 @@
+#include "cli/proxy.h"
+
+#include <spdlog/spdlog.h>
+#include <sys/signalfd.h>
+
+#include <algorithm>
+#include <csignal>
+#include <system_error>
+
+#include "backend/engines.h"
+#include "broker/broker.h"
+#include "frontend/frame_server.h"
+#include "membership/directory.h"
+#include "membership/feed.h"
+
+namespace lemoncroft::cli {
+namespace {
+
+using namespace std::chrono_literals;
+using runtime::Now;
+using runtime::Task;
+using runtime::Time;
+
+// After SIGTERM: how long new connections, and then requests on open ones, are still served.
+constexpr auto kAcceptFor = 500ms;
+constexpr auto kServeFor = 700ms;
+constexpr auto kDrainBeat = 10ms;
+
+constexpr std::size_t kSocketsUntold = 1024;
+constexpr std::size_t kOwnDescriptors = 40;  // epoll, signals, log, control feed, those of short calls
+
+backend::Pool::Limits PoolLimits(const Config& config, std::size_t clients) {
+  const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
+  backend::Pool::Limits limits;
+  limits.connections = std::max<std::size_t>(16, sockets - std::min(sockets, clients + kOwnDescriptors));
+  // Well before the engine closes it: a statement must not cross a close.
+  limits.idle =
+      broker::ToSpan(config.site.keepalive > 0 ? config.site.keepalive : Nanos{5'000'000'000}) * 3 / 4;
+  return limits;
+}
+
+frontend::FrameServer::Limits ClientLimits(const Config& config) {
+  frontend::FrameServer::Limits limits;
+  const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
+  limits.connections = sockets * 2 / 5;  // clients hold a third; a reconnect may cross a close
+  return limits;
+}
+
+broker::Broker::Limits RequestLimits(const Config& config) {
+  broker::Broker::Limits limits;
+  if (config.site.max_open > 0) {
+    limits.requests = std::min(limits.requests, static_cast<std::size_t>(config.site.max_open));
+  }
+  if (config.memory_mb > 0) limits.bytes = (config.memory_mb << 20) / 4;
+  return limits;
+}
+
+class Signals {
+ public:
+  explicit Signals(runtime::Loop& loop) : loop_(loop) {
+    sigset_t set;
+    sigemptyset(&set);
+    sigaddset(&set, SIGTERM);
+    sigaddset(&set, SIGINT);
+    sigprocmask(SIG_BLOCK, &set, nullptr);
+    fd_ = runtime::Descriptor(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
+    if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
+    loop_.Watch(fd_.get(), &watched_);
+  }
+
+  Task<> Next() {
+    signalfd_siginfo info{};
+    while (::read(fd_.get(), &info, sizeof info) != sizeof info) {
+      co_await runtime::Waiter(loop_, &watched_.readable, runtime::kNever);
+    }
+  }
+
+ private:
+  runtime::Loop& loop_;
+  runtime::Watched watched_;
+  runtime::Descriptor fd_;
+};
+
+// Waits for a signal, then lets what was taken come to its end.
+Task<> EndOnSignal(runtime::Loop& loop, Signals& signals, frontend::FrameServer& server,
+                   broker::Broker& broker) {
+  co_await signals.Next();
+  const Time since = Now();
+  spdlog::info("ending: {} requests open", broker.open());
+  server.set_ready(false);
+  server.AnnounceEnd();
+  co_await loop.SleepUntil(since + kAcceptFor);
+  server.StopAccepting();
+  server.AnnounceEnd();  // to those who came meanwhile
+  co_await loop.SleepUntil(since + kServeFor);
+  broker.Close();
+  while (broker.open() > 0 || !server.flushed()) co_await loop.Sleep(kDrainBeat);
+  spdlog::info("ended");
+  loop.Stop();
+}
+
+}  // namespace
+
+int RunProxy(const Config& config) {
+  std::signal(SIGPIPE, SIG_IGN);
+  runtime::Loop loop;
+  Signals signals(loop);
+  membership::Directory directory(config.site);
+  const auto client_limits = ClientLimits(config);
+  backend::Engines engines(loop, directory, PoolLimits(config, client_limits.connections),
+                           broker::ToSpan(config.site.module.connect_timeout));
+  broker::Broker broker(loop, config.site, config.seed, engines, RequestLimits(config));
+  frontend::FrameServer server(loop, config.listen, config.site, broker, client_limits);
+  directory.on_ended = [&](EngineId engine) { engines.pool().Drop(engine); };
+
+  const auto tell = [&](EngineList list) {
+    broker.TellList(std::move(list));
+    server.set_ready(directory.loaded());
+  };
+  if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
+  membership::Feed feed(loop, directory, config.feed, tell);
+  if (!config.feed.empty()) loop.Spawn(feed.Run());
+  loop.Spawn(engines.pool().CloseIdle());
+  broker.Start();
+  server.Start();
+  loop.Spawn(EndOnSignal(loop, signals, server, broker));
+  spdlog::info("{} listens on {}", config.name, config.listen_text);
+  loop.Run();
+  return 0;
+}
+
+}  // namespace lemoncroft::cli
--- /dev/null
+++ b/src/frontend/frame_server.h
@@ -0,0 +1,68 @@
+// The clients' side: connections of binary frames, whose requests go to the broker.
+#ifndef LEMONCROFT_FRONTEND_FRAME_SERVER_H_
+#define LEMONCROFT_FRONTEND_FRAME_SERVER_H_
+
+#include <functional>
+#include <list>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "broker/broker.h"
+#include "codec/frame.h"
+#include "runtime/socket.h"
+#include "settings/settings.h"
+
+namespace lemoncroft::frontend {
+
+class FrameServer {
+ public:
+  struct Limits {
+    std::size_t connections = 400;
+    std::size_t unread = std::size_t{4} << 20;  // bytes of answers that a client leaves unread
+  };
+
+  FrameServer(runtime::Loop& loop, const runtime::Address& listen, const settings::Site& site,
+              broker::Broker& broker, Limits limits);
+  ~FrameServer();
+
+  void Start() { loop_.Spawn(AcceptAll()); }
+  void set_ready(bool ready) { ready_ = ready; }
+  // Asks the clients of all present connections for no new request on them.
+  void AnnounceEnd();
+  void StopAccepting();
+  bool flushed() const;  // every answer has been handed to the kernel
+  runtime::Address address() const { return listener_->address(); }
+
+ private:
+  struct Connection;
+  class Sink;
+  using ConnectionPtr = std::shared_ptr<Connection>;
+
+  runtime::Task<> AcceptAll();
+  runtime::Task<> Serve(ConnectionPtr connection);
+  runtime::Task<> WriteOut(ConnectionPtr connection);
+  bool TakeFrames(const ConnectionPtr& connection);  // false: what follows can't be read
+  void TakeFrame(const ConnectionPtr& connection, const codec::Frame& frame);
+  void TakeRequest(const ConnectionPtr& connection, const codec::Frame& frame);
+  // What is wrong with the request, or empty.
+  std::string Describe(const codec::Fields& fields, broker::ClientRequest& out) const;
+  void Append(Connection& connection, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
+              const codec::FieldViews& fields = {}, std::string_view body = {});
+  void Abandon(Connection& connection);
+
+  runtime::Loop& loop_;
+  const settings::Site& site_;
+  broker::Broker& broker_;
+  Limits limits_;
+  std::unique_ptr<runtime::Listener> listener_;
+  runtime::Cancellation stop_accepting_;
+  std::list<std::weak_ptr<Connection>> connections_;
+  std::size_t open_ = 0;
+  bool ready_ = false;
+};
+
+}  // namespace lemoncroft::frontend
+
+#endif  // LEMONCROFT_FRONTEND_FRAME_SERVER_H_
--- /dev/null
+++ b/src/membership/directory.cpp
@@ -0,0 +1,119 @@
+#include "membership/directory.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <chrono>
+
+#include "broker/module_clock.h"
+
+namespace lemoncroft::membership {
+namespace {
+
+using codec::Json;
+
+std::uint16_t PlaceOf(const std::string& name, const std::vector<std::string>& names) {
+  const auto it = std::find(names.begin(), names.end(), name);
+  return static_cast<std::uint16_t>(it == names.end() ? 0 : it - names.begin());
+}
+
+}  // namespace
+
+// The module ranks engines by their ids and wants these alike at every proxy and after every restart, so an
+// id is the name's hash (FNV-1a), not a serial. Two names with one hash: the later one takes the next free.
+EngineId Directory::IdOf(const std::string& name) {
+  if (const auto it = ids_.find(name); it != ids_.end()) return it->second;
+  EngineId id = 2166136261u;
+  for (const char c : name) id = (id ^ static_cast<unsigned char>(c)) * 16777619u;
+  while (names_.contains(id)) ++id;
+  ids_.emplace(name, id);
+  names_.emplace(id, name);
+  return id;
+}
+
+const Member* Directory::Find(EngineId engine) const {
+  const auto it = members_.find(engine);
+  return it == members_.end() ? nullptr : &it->second;
+}
+
+bool Directory::MaySend(EngineId engine) const {
+  const Member* member = Find(engine);
+  return member != nullptr && member->entry.readiness == Readiness::kReady;
+}
+
+bool Directory::Apply(const Json& document, const std::function<void(EngineList)>& tell) {
+  const Json& events = document["events"];
+  if (!events.Is(Json::Kind::kArray)) return false;
+  for (const Json& event : events.items) {
+    const std::int64_t n = event["n"].Integer(-1);
+    if (n <= last_) continue;  // told before
+    last_ = n;
+    if (!event["members"].Is(Json::Kind::kObject)) continue;  // of a kind that is none of ours
+    if (auto list = ApplyEvent(event["members"])) tell(std::move(*list));
+  }
+  last_ = std::max(last_, document["n"].Integer(last_));
+  return true;
+}
+
+std::optional<EngineList> Directory::ApplyEvent(const Json& members) {
+  const Json& list = members["members"];
+  if (!list.Is(Json::Kind::kArray)) return std::nullopt;
+  const bool complete = members["complete"].True();
+  std::vector<EngineEntry> entries;
+  for (const Json& json : list.items) {
+    if (auto entry = ApplyMember(json)) entries.push_back(*entry);
+  }
+  if (complete) {  // who is not in a whole list has left
+    std::vector<EngineId> left;
+    for (const auto& [id, member] : members_) {
+      const bool named = std::any_of(entries.begin(), entries.end(),
+                                     [id = id](const EngineEntry& e) { return e.engine == id; });
+      if (!named) left.push_back(id);
+    }
+    for (const EngineId id : left) End(id);
+  }
+  const ListKind kind = !complete ? ListKind::kChange : loaded_ ? ListKind::kFull : ListKind::kCached;
+  loaded_ = loaded_ || complete;
+  return EngineList{kind, std::make_shared<const std::vector<EngineEntry>>(std::move(entries))};
+}
+
+std::optional<EngineEntry> Directory::ApplyMember(const Json& json) {
+  const std::string& name = json["id"].text;
+  const std::string& phase = json["phase"].text;
+  const std::string& host_port = json["host_port"].text;
+  const auto address = runtime::Address::Parse(host_port);
+  if (name.empty() || (!address && phase != "Gone")) {
+    spdlog::warn("control feed: an entry without a usable id or address is passed over");
+    return std::nullopt;
+  }
+  EngineEntry entry;
+  entry.engine = IdOf(name);
+  entry.weight = json["size"].Number(1);
+  // An unknown state takes nothing new: sending there could break the rule on drains.
+  entry.readiness = phase == "Ready"  ? Readiness::kReady
+                    : phase == "Gone" ? Readiness::kGone
+                                      : Readiness::kDraining;
+  entry.kind = PlaceOf(json["flavor"].text, site_.kinds);
+  entry.zone = PlaceOf(json["locality"].text, site_.zones);
+  entry.cell = static_cast<std::uint16_t>(json["cell"].Integer());
+  const std::int64_t up_since = json["up_since_ms"].Integer();
+  entry.started_at = up_since <= 0 ? 0 : broker::ModuleClock::AtUnix(std::chrono::milliseconds(up_since));
+  if (entry.readiness == Readiness::kGone) {
+    End(entry.engine);
+    return entry;
+  }
+  const Member* known = Find(entry.engine);
+  if (known != nullptr && (known->entry.started_at != entry.started_at || known->host_port != host_port)) {
+    End(entry.engine);
+    known = nullptr;
+  }
+  const std::uint64_t life = known != nullptr ? known->life : ++lives_;
+  members_.insert_or_assign(entry.engine, Member{name, host_port, *address, entry, life});
+  return entry;
+}
+
+void Directory::End(EngineId engine) {
+  if (members_.erase(engine) > 0 && on_ended) on_ended(engine);
+}
+
+}  // namespace lemoncroft::membership
--- /dev/null
+++ b/src/membership/feed.cpp
@@ -0,0 +1,58 @@
+#include "membership/feed.h"
+
+#include <spdlog/spdlog.h>
+
+#include "http/connection.h"
+
+namespace lemoncroft::membership {
+namespace {
+
+using namespace std::chrono_literals;
+using runtime::Io;
+
+constexpr auto kWait = 1000ms;  // asked of the feed: short, so that a dead connection shows soon
+constexpr auto kGrace = 400ms;  // beyond it until a silent feed counts as lost
+constexpr auto kConnect = 400ms;
+constexpr auto kPause = 50ms;  // between connections
+constexpr codec::HttpParser::Limits kLimits{16 * 1024, 4 * 1024 * 1024};
+
+}  // namespace
+
+runtime::Task<> Feed::Run() {
+  for (;;) {
+    co_await Follow();
+    co_await loop_.Sleep(kPause);
+  }
+}
+
+runtime::Task<> Feed::Follow() {
+  const auto address = runtime::Address::Parse(host_port_);
+  std::unique_ptr<runtime::Socket> socket;
+  const Io up = co_await Connect(loop_, *address, runtime::Now() + kConnect, nullptr, socket);
+  if (up != Io::kOk) {
+    spdlog::debug("control feed: no connection to {}", host_port_);
+    co_return;
+  }
+  http::Connection connection(std::move(socket), host_port_, kLimits);
+  for (;;) {
+    codec::HttpRequest request;
+    request.method = "GET";
+    request.path =
+        "/v1/events?SUB=" + std::to_string(directory_.last()) + "&wait=" + std::to_string(kWait.count());
+    codec::HttpResponse response;
+    const Io io = co_await connection.Call(request, runtime::Now() + kWait + kGrace, nullptr, response);
+    if (io != Io::kOk || response.status != 200) {
+      spdlog::info("control feed: connection lost after event {}", directory_.last());
+      co_return;
+    }
+    bool readable = false;
+    try {
+      readable = directory_.Apply(codec::Json::Parse(response.body), tell_);
+    } catch (const codec::JsonError& e) {
+      spdlog::warn("control feed: {}", e.what());
+    }
+    if (!readable || !connection.Reusable()) co_return;
+  }
+}
+
+}  // namespace lemoncroft::membership
--- /dev/null
+++ b/src/runtime/loop.cpp
@@ -0,0 +1,170 @@
+#include "runtime/loop.h"
+
+#include <spdlog/spdlog.h>
+#include <sys/epoll.h>
+
+#include <algorithm>
+#include <array>
+#include <cerrno>
+#include <system_error>
+
+namespace lemoncroft::runtime {
+
+Gate::~Gate() {
+  if (waiter_ != nullptr) waiter_->gate_ = nullptr;
+}
+
+void Gate::Open() {
+  if (waiter_ != nullptr) waiter_->Finish(Wake::kReady);
+}
+
+Cancellation::~Cancellation() {
+  if (waiter_ != nullptr) waiter_->cancel_ = nullptr;
+}
+
+void Cancellation::Cancel() {
+  cancelled_ = true;
+  if (waiter_ != nullptr) waiter_->Finish(Wake::kCancelled);
+}
+
+void Waiter::await_suspend(std::coroutine_handle<> handle) {
+  handle_ = handle;
+  linked_ = true;
+  if (gate_ != nullptr) gate_->waiter_ = this;
+  if (cancel_ != nullptr) cancel_->waiter_ = this;
+  if (deadline_ != kNever) loop_.HeapPush(this);
+}
+
+void Waiter::Finish(Wake result) {
+  Unlink();
+  result_ = result;
+  loop_.Post(handle_);
+}
+
+void Waiter::Unlink() {
+  if (!linked_) return;
+  linked_ = false;
+  if (gate_ != nullptr && gate_->waiter_ == this) gate_->waiter_ = nullptr;
+  if (cancel_ != nullptr && cancel_->waiter_ == this) cancel_->waiter_ = nullptr;
+  if (heap_index_ != kNotInHeap) loop_.HeapErase(this);
+}
+
+Loop::Loop() : epoll_(::epoll_create1(EPOLL_CLOEXEC)) {
+  if (!epoll_) throw std::system_error(errno, std::generic_category(), "epoll_create1");
+}
+
+void Loop::Watch(int fd, Watched* watched) {
+  epoll_event event{};
+  event.events = EPOLLIN | EPOLLOUT | EPOLLRDHUP | EPOLLET;
+  event.data.ptr = watched;
+  if (::epoll_ctl(epoll_.get(), EPOLL_CTL_ADD, fd, &event) != 0) {
+    throw std::system_error(errno, std::generic_category(), "epoll_ctl");
+  }
+}
+
+Task<> Loop::Root(Loop& loop, Task<> task, Roots::iterator self) {
+  try {
+    co_await task;
+  } catch (const std::exception& e) {
+    spdlog::error("a task ended with an exception: {}", e.what());
+  }
+  loop.ended_.push_back(self);
+}
+
+void Loop::Spawn(Task<> task) {
+  // The list node comes first, so that the coroutine can name it when it has ended.
+  auto self = roots_.emplace(roots_.end(), Task<>(nullptr));
+  *self = Root(*this, std::move(task), self);
+  Post(self->handle());
+}
+
+void Loop::RunReady() {
+  // Only what is ready now: what these make ready comes after the next look at the sockets.
+  for (std::size_t n = ready_.size(); n > 0 && !stopped_; --n) {
+    std::coroutine_handle<> handle = ready_.front();
+    ready_.pop_front();
+    handle.resume();
+    for (Roots::iterator it : ended_) roots_.erase(it);
+    ended_.clear();
+  }
+}
+
+void Loop::DropTasks() {
+  ready_.clear();
+  while (!roots_.empty()) roots_.pop_front();
+}
+
+void Loop::Poll() {
+  int wait_ms = -1;
+  if (!ready_.empty()) {
+    wait_ms = 0;
+  } else if (!heap_.empty()) {
+    const Span left = heap_.front()->deadline_ - Now();
+    const auto up = std::chrono::ceil<std::chrono::milliseconds>(left).count();
+    wait_ms = static_cast<int>(std::clamp<std::int64_t>(up, 0, 60'000));
+  }
+  std::array<epoll_event, 256> events;
+  const int n = ::epoll_wait(epoll_.get(), events.data(), static_cast<int>(events.size()), wait_ms);
+  if (n < 0 && errno != EINTR) throw std::system_error(errno, std::generic_category(), "epoll_wait");
+  for (int i = 0; i < n; ++i) {
+    const epoll_event& event = events[static_cast<std::size_t>(i)];
+    auto* watched = static_cast<Watched*>(event.data.ptr);
+    const bool broken = (event.events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
+    if (broken || (event.events & EPOLLIN) != 0) watched->readable.Open();
+    if (broken || (event.events & EPOLLOUT) != 0) watched->writable.Open();
+  }
+  const Time now = Now();
+  while (!heap_.empty() && heap_.front()->deadline_ <= now) heap_.front()->Finish(Wake::kTimeout);
+}
+
+void Loop::Run() {
+  while (!stopped_) {
+    Poll();
+    RunReady();
+  }
+  DropTasks();
+}
+
+void Loop::HeapPlace(Waiter* waiter, std::size_t at) {
+  heap_[at] = waiter;
+  waiter->heap_index_ = at;
+}
+
+void Loop::HeapPush(Waiter* waiter) {
+  heap_.push_back(waiter);
+  SiftUp(heap_.size() - 1);
+}
+
+void Loop::HeapErase(Waiter* waiter) {
+  const std::size_t at = waiter->heap_index_;
+  waiter->heap_index_ = Waiter::kNotInHeap;
+  Waiter* last = heap_.back();
+  heap_.pop_back();
+  if (last == waiter) return;
+  HeapPlace(last, at);
+  SiftUp(at);
+  SiftDown(last->heap_index_);
+}
+
+void Loop::SiftUp(std::size_t at) {
+  Waiter* moving = heap_[at];
+  for (; at > 0 && moving->deadline_ < heap_[(at - 1) / 2]->deadline_; at = (at - 1) / 2) {
+    HeapPlace(heap_[(at - 1) / 2], at);
+  }
+  HeapPlace(moving, at);
+}
+
+void Loop::SiftDown(std::size_t at) {
+  Waiter* moving = heap_[at];
+  for (;;) {
+    std::size_t child = 2 * at + 1;
+    if (child >= heap_.size()) break;
+    if (child + 1 < heap_.size() && heap_[child + 1]->deadline_ < heap_[child]->deadline_) ++child;
+    if (heap_[child]->deadline_ >= moving->deadline_) break;
+    HeapPlace(heap_[child], at);
+    at = child;
+  }
+  HeapPlace(moving, at);
+}
+
+}  // namespace lemoncroft::runtime
--- /dev/null
+++ b/src/runtime/socket.cpp
@@ -0,0 +1,141 @@
+#include "runtime/socket.h"
+
+#include <arpa/inet.h>
+#include <netinet/tcp.h>
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <charconv>
+#include <system_error>
+
+namespace lemoncroft::runtime {
+namespace {
+
+bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
+
+Io FromWake(Wake wake) { return wake == Wake::kTimeout ? Io::kTimeout : Io::kCancelled; }
+
+void SetOption(int fd, int level, int name) {
+  const int on = 1;
+  ::setsockopt(fd, level, name, &on, sizeof on);
+}
+
+Descriptor Listening(const Address& address) {
+  Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) throw std::system_error(errno, std::generic_category(), "socket");
+  SetOption(fd.get(), SOL_SOCKET, SO_REUSEADDR);
+  const auto* raw = reinterpret_cast<const sockaddr*>(&address.raw);
+  if (::bind(fd.get(), raw, sizeof address.raw) != 0 || ::listen(fd.get(), 1024) != 0) {
+    throw std::system_error(errno, std::generic_category(), "cannot listen");
+  }
+  return fd;
+}
+
+}  // namespace
+
+std::optional<Address> Address::Parse(std::string_view text) {
+  const std::size_t colon = text.rfind(':');
+  if (colon == std::string_view::npos) return std::nullopt;
+  const std::string host(text.substr(0, colon));
+  const std::string_view port = text.substr(colon + 1);
+  std::uint16_t number = 0;
+  auto [end, error] = std::from_chars(port.data(), port.data() + port.size(), number);
+  Address out;
+  out.raw.sin_family = AF_INET;
+  if (error != std::errc() || end != port.data() + port.size()) return std::nullopt;
+  if (::inet_pton(AF_INET, host.c_str(), &out.raw.sin_addr) != 1) return std::nullopt;
+  out.raw.sin_port = htons(number);
+  return out;
+}
+
+Socket::Socket(Loop& loop, Descriptor fd) : loop_(loop), fd_(std::move(fd)) {
+  loop_.Watch(fd_.get(), &watched_);
+}
+
+Task<Io> Socket::Read(std::string& into, std::size_t most, Time deadline, Cancellation* cancel) {
+  for (;;) {
+    const std::size_t before = into.size();
+    into.resize(before + most);
+    const ssize_t n = ::recv(fd_.get(), into.data() + before, most, 0);
+    const int error = errno;
+    into.resize(before + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+    if (n > 0) co_return Io::kOk;
+    if (n == 0) co_return Io::kClosed;
+    if (error == EINTR) continue;
+    if (!WouldBlock(error)) co_return Io::kClosed;
+    const Wake wake = co_await Waiter(loop_, &watched_.readable, deadline, cancel);
+    if (wake != Wake::kReady) co_return FromWake(wake);
+  }
+}
+
+Task<Io> Socket::Write(std::string_view bytes, std::size_t& written, Time deadline, Cancellation* cancel) {
+  written = 0;
+  while (written < bytes.size()) {
+    const ssize_t n = ::send(fd_.get(), bytes.data() + written, bytes.size() - written, MSG_NOSIGNAL);
+    if (n >= 0) {
+      written += static_cast<std::size_t>(n);
+      continue;
+    }
+    if (errno == EINTR) continue;
+    if (!WouldBlock(errno)) co_return Io::kClosed;
+    const Wake wake = co_await Waiter(loop_, &watched_.writable, deadline, cancel);
+    if (wake != Wake::kReady) co_return FromWake(wake);
+  }
+  co_return Io::kOk;
+}
+
+bool Socket::Quiet() const {
+  char byte = 0;
+  return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && WouldBlock(errno);
+}
+
+Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out) {
+  Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) co_return Io::kNoDescriptors;
+  SetOption(fd.get(), IPPROTO_TCP, TCP_NODELAY);
+  // Watched only once the handshake is under way: before it, epoll reports a socket as hung up.
+  const int failed = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw);
+  if (failed != 0 && errno != EINPROGRESS) co_return errno == ECONNREFUSED ? Io::kRefused : Io::kClosed;
+  auto socket = std::make_unique<Socket>(loop, std::move(fd));
+  if (failed != 0) {
+    const Wake wake = co_await Waiter(loop, &socket->watched_.writable, deadline, cancel);
+    if (wake != Wake::kReady) co_return FromWake(wake);
+    int error = 0;
+    socklen_t size = sizeof error;
+    ::getsockopt(socket->fd(), SOL_SOCKET, SO_ERROR, &error, &size);
+    if (error != 0) co_return error == ECONNREFUSED ? Io::kRefused : Io::kClosed;
+  }
+  out = std::move(socket);
+  co_return Io::kOk;
+}
+
+Listener::Listener(Loop& loop, const Address& address) : loop_(loop), socket_(loop, Listening(address)) {}
+
+Task<Io> Listener::Accept(std::unique_ptr<Socket>& out, Cancellation* cancel) {
+  for (;;) {
+    Descriptor fd(::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
+    if (fd) {
+      SetOption(fd.get(), IPPROTO_TCP, TCP_NODELAY);
+      out = std::make_unique<Socket>(loop_, std::move(fd));
+      co_return Io::kOk;
+    }
+    if (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS) {
+      co_return Io::kNoDescriptors;
+    }
+    if (WouldBlock(errno)) {
+      const Wake wake = co_await Waiter(loop_, &socket_.watched_.readable, kNever, cancel);
+      if (wake == Wake::kCancelled) co_return Io::kCancelled;
+    }
+    // Anything else is the failure of one connection that was about to come up: on to the next.
+  }
+}
+
+Address Listener::address() const {
+  Address out;
+  socklen_t size = sizeof out.raw;
+  ::getsockname(socket_.fd(), reinterpret_cast<sockaddr*>(&out.raw), &size);
+  return out;
+}
+
+}  // namespace lemoncroft::runtime
--- /dev/null
+++ b/src/settings/settings.h
@@ -0,0 +1,74 @@
+// Settings from path=value pairs: the form of the simulator's first message, to which the proxy flattens its
+// JSON configuration. One reader for both, so that the module is told the same in either place.
+#ifndef LEMONCROFT_SETTINGS_SETTINGS_H_
+#define LEMONCROFT_SETTINGS_SETTINGS_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <initializer_list>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+
+namespace lemoncroft::settings {
+
+// A settings text or value that cannot be read, named by its path.
+class SettingsError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+// Path=value pairs with typed reads that name the path when they fail.
+class Pairs {
+ public:
+  static Pairs FromLines(std::string_view text);
+  void Set(std::string path, std::string value) {
+    values_.insert_or_assign(std::move(path), std::move(value));
+  }
+
+  bool Has(const std::string& key) const;
+  std::string Text(const std::string& key) const;
+  double Number(const std::string& key, double absent = 0) const;
+  Nanos Time(const std::string& key) const;
+  // A count or index, bounded so that a wrong value cannot ask for endless work.
+  int Count(const std::string& key, int absent = 0) const;
+  bool Flag(const std::string& key) const;
+  std::vector<std::string> List(const std::string& key) const;
+  std::vector<double> Numbers(const std::string& key) const;
+  // Values written as a position in `names` or as one of the names.
+  std::vector<std::uint16_t> Positions(const std::string& key, const std::vector<std::string>& names) const;
+
+  template <typename T>
+  T OneOf(const std::string& key, std::initializer_list<std::pair<const char*, T>> choices, T absent) const {
+    if (!Has(key)) return absent;
+    for (const auto& [name, value] : choices) {
+      if (Text(key) == name) return value;
+    }
+    Unreadable(key, Text(key));
+  }
+
+ private:
+  [[noreturn]] static void Unreadable(const std::string& key, const std::string& value);
+  static double ToNumber(const std::string& key, const std::string& text);
+
+  std::map<std::string, std::string> values_;
+};
+
+// What a site tells: the module's settings, and what only its host needs.
+struct Site {
+  Settings module;
+  std::vector<std::string> classes, tenants, zones, kinds;  // names, by index
+  Nanos answer_slack = 0;
+  Nanos keepalive = 0;  // engines close idle connections after this
+  int max_open = 0;     // requests held at a time; 0 = no limit told
+};
+Site ParseSite(const Pairs& in);
+
+}  // namespace lemoncroft::settings
+
+#endif  // LEMONCROFT_SETTINGS_SETTINGS_H_
