Test the proxy with scenarios; mend chunked bodies; bound unread answers

A small scenario language plays clients, engines and the control feed against the real program, and feeds the parsers byte by byte. It found that a chunk's closing line end was taken for the next chunk's size (src/codec/http.cpp, Step).

Also: an entry of the feed that leaves out its address or start keeps the known ones, so that a drain is not missed; answers that clients leave unread are bounded over all connections; a result is bounded by what an answer's frame holds.

--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -17,7 +17,8 @@
 constexpr auto kSilence = 1000ms;  // an engine answers within 250 ms: past this it is cut off
 constexpr auto kLinger = 400ms;    // for the answer to a question that no longer matters
 constexpr int kPagesMost = 256;
-constexpr std::size_t kRowsMost = 1024 * 1024;
+constexpr std::size_t kRowsMost =
+    192 * 1024;  // a result has 48,000 bytes at most; an answer's frame holds this
 
 std::string PathOf(const std::string& id) { return "/v2/q/" + id; }
 
@@ -129,7 +130,8 @@
   ask.method = "GET";
   ask.path = PathOf(query.attempt.passed->id) + "/0";
   for (;;) {
-    const bool unrun = query.response.Find("X-Unrun") != nullptr;
+    const std::string* unrun_text = query.response.Find("X-Unrun");
+    const bool unrun = unrun_text != nullptr && *unrun_text == "1";
     switch (query.response.status) {
       case 200:
         co_return Outcome::kOk;
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -43,6 +43,7 @@
   }
   auto life = std::make_shared<Life>();
   life->id = next_id_++;
+  life->taken = Now();
   life->request = std::move(request);
   life->sink = std::move(sink);
   lives_.emplace(life->id, life);
@@ -178,10 +179,12 @@
   event.finished = finished;
   event.work = ToNanos(ended.result.work);
   event.memory_mb = ended.result.memory_mb;
-  if (event.outcome != Outcome::kOk) {
-    spdlog::debug("request {}: attempt {} at {} ended {} after {} ms", life.request.passed.id, ended.attempt,
-                  running.engine, static_cast<int>(event.outcome), event.waited / 1'000'000);
-  }
+  const ClientRequest& request = life.request;
+  spdlog::debug("request {} {} group {}: attempt {} at {} ended {} after {} ms, held {} ms, work {} of {} ms",
+                request.passed.id, request.passed.lane, request.tables, ended.attempt, running.engine,
+                static_cast<int>(event.outcome), event.waited / 1'000'000,
+                ToNanos(running.started - life.taken) / 1'000'000, event.work / 1'000'000,
+                ToNanos(request.est_work) / 1'000'000);
   host_.Post(event);
 }
 
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -59,6 +59,7 @@
 
   struct Life {
     RequestId id = 0;
+    runtime::Time taken{};
     ClientRequest request;
     std::unique_ptr<AnswerSink> sink;
     Terms terms;
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -102,6 +102,10 @@
       if (part_ != Part::kBad) part_ = left_ == 0 ? Part::kTrailer : Part::kChunk;
       return true;
     }
+    case Part::kChunkEnd:  // the line end behind a chunk's bytes
+      if (!TakeLine(rest, line, 1024)) return false;
+      part_ = line.empty() ? Part::kChunkSize : Part::kBad;
+      return true;
     case Part::kTrailer:
       if (!TakeLine(rest, line, limits_.head)) return false;
       if (line.empty()) part_ = Part::kDone;
@@ -117,8 +121,7 @@
       response_.body.append(rest.substr(0, n));
       rest.remove_prefix(n);
       if (open || (left_ -= n) > 0) return true;
-      part_ = part_ == Part::kSized ? Part::kDone : Part::kChunkSize;
-      if (part_ == Part::kChunkSize) left_ = 0;
+      part_ = part_ == Part::kSized ? Part::kDone : Part::kChunkEnd;
       return true;
     }
     case Part::kDone:
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -45,7 +45,7 @@
   HttpResponse& response() { return response_; }
 
  private:
-  enum class Part { kHead, kSized, kChunkSize, kChunk, kTrailer, kUntilClose, kDone, kBad };
+  enum class Part { kHead, kSized, kChunkSize, kChunk, kChunkEnd, kTrailer, kUntilClose, kDone, kBad };
 
   bool TakeLine(std::string_view& rest, std::string_view& line, std::size_t most);
   void Head(std::string_view head);
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -146,8 +146,10 @@
     std::string bytes;
     bytes.swap(c.out);
     c.writing = true;
+    unread_ += bytes.size();
     std::size_t written = 0;
     const Io io = co_await c.socket->Write(bytes, written, Now() + kStalled);
+    unread_ -= bytes.size();
     c.writing = false;
     if (io == Io::kOk) continue;
     c.stop_reading.Cancel();
@@ -158,7 +160,9 @@
 void FrameServer::Append(Connection& c, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
                          const codec::FieldViews& fields, std::string_view body) {
   codec::WriteAnswer(c.out, type, stream, code, fields, body);
-  if (c.out.size() > limits_.unread) c.stop_reading.Cancel();
+  // A client that leaves its answers unread is cut off, before all of them together are too much.
+  if (c.out.size() > limits_.unread || c.out.size() + unread_ > limits_.unread_by_all)
+    c.stop_reading.Cancel();
   c.written.Open();
 }
 
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -21,6 +21,7 @@
   struct Limits {
     std::size_t connections = 400;
     std::size_t unread = std::size_t{4} << 20;  // bytes of answers that a client leaves unread
+    std::size_t unread_by_all = std::size_t{32} << 20;
   };
 
   FrameServer(runtime::Loop& loop, const runtime::Address& listen, const settings::Site& site,
@@ -60,6 +61,7 @@
   runtime::Cancellation stop_accepting_;
   std::list<std::weak_ptr<Connection>> connections_;
   std::size_t open_ = 0;
+  std::size_t unread_ = 0;  // bytes handed to the writers and not yet to the kernel
   bool ready_ = false;
 };
 
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -80,10 +80,18 @@
 std::optional<EngineEntry> Directory::ApplyMember(const Json& json) {
   const std::string& name = json["id"].text;
   const std::string& phase = json["phase"].text;
-  const std::string& host_port = json["host_port"].text;
+  if (name.empty()) {
+    spdlog::warn("control feed: an entry without an id is passed over");
+    return std::nullopt;
+  }
+  // What an entry leaves out stays as it was: a drain must not be missed for want of an address.
+  const Member* known = Find(IdOf(name));
+  const std::string host_port = known != nullptr && !json["host_port"].Is(Json::Kind::kText)
+                                    ? known->host_port
+                                    : json["host_port"].text;
   const auto address = runtime::Address::Parse(host_port);
-  if (name.empty() || (!address && phase != "Gone")) {
-    spdlog::warn("control feed: an entry without a usable id or address is passed over");
+  if (!address && phase != "Gone") {
+    spdlog::warn("control feed: {} has no usable address and is passed over", name);
     return std::nullopt;
   }
   EngineEntry entry;
@@ -96,13 +104,16 @@
   entry.kind = PlaceOf(json["flavor"].text, site_.kinds);
   entry.zone = PlaceOf(json["locality"].text, site_.zones);
   entry.cell = static_cast<std::uint16_t>(json["cell"].Integer());
-  const std::int64_t up_since = json["up_since_ms"].Integer();
-  entry.started_at = up_since <= 0 ? 0 : broker::ModuleClock::AtUnix(std::chrono::milliseconds(up_since));
+  const Json& up_since = json["up_since_ms"];
+  entry.started_at = known != nullptr ? known->entry.started_at : 0;
+  if (up_since.Is(Json::Kind::kNumber)) {
+    entry.started_at =
+        broker::ModuleClock::AtUnix(std::chrono::milliseconds(std::max<std::int64_t>(0, up_since.Integer())));
+  }
   if (entry.readiness == Readiness::kGone) {
     End(entry.engine);
     return entry;
   }
-  const Member* known = Find(entry.engine);
   if (known != nullptr && (known->entry.started_at != entry.started_at || known->host_port != host_port)) {
     End(entry.engine);
     known = nullptr;
--- /dev/null
+++ b/tests/scenario.cpp
@@ -0,0 +1,525 @@
+#include "scenario.h"
+
+#include <arpa/inet.h>
+#include <fcntl.h>
+#include <poll.h>
+#include <signal.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <optional>
+#include <sstream>
+#include <stdexcept>
+#include <thread>
+
+#include "codec/frame.h"
+#include "runtime/descriptor.h"
+
+namespace lemoncroft::scenario {
+namespace {
+
+using Clock = std::chrono::steady_clock;
+using runtime::Descriptor;
+using namespace std::chrono_literals;
+
+constexpr auto kPatience = 4000ms;  // for what is expected to come
+
+[[noreturn]] void Wrong(const std::string& what) { throw std::runtime_error(what); }
+
+Words Split(const std::string& line) {
+  Words out;
+  bool inside = false, any = false, raw = false;
+  std::string word;
+  const auto end_word = [&] {
+    if (any) out.push_back(word);
+    word.clear();
+    any = false;
+  };
+  for (std::size_t i = 0; i < line.size(); ++i) {
+    const char c = line[i];
+    if (c == '\'' && !inside) {
+      raw = !raw;
+      any = true;
+    } else if (raw) {
+      word.push_back(c);
+    } else if (c == '"') {
+      inside = !inside;
+      any = true;
+    } else if (c == '\\' && i + 1 < line.size()) {
+      const char e = line[++i];
+      if (e == 'x') {
+        word.push_back(static_cast<char>(std::stoi(line.substr(i + 1, 2), nullptr, 16)));
+        i += 2;
+      } else {
+        word.push_back(e == 'n' ? '\n' : e == 't' ? '\t' : e == 'r' ? '\r' : e);
+      }
+      any = true;
+    } else if (c == ' ' && !inside) {
+      end_word();
+    } else if (c == '#' && !inside && !any) {
+      break;
+    } else {
+      word.push_back(c);
+      any = true;
+    }
+  }
+  end_word();
+  return out;
+}
+
+// NAME=VALUE words; `body` is apart.
+struct Named {
+  std::vector<std::pair<std::string, std::string>> values;
+  std::optional<std::string> body;
+  Named(const Words& words, std::size_t from) {
+    for (std::size_t i = from; i < words.size(); ++i) {
+      const std::size_t eq = words[i].find('=');
+      if (eq == std::string::npos) Wrong("not NAME=VALUE: " + words[i]);
+      const std::string name = words[i].substr(0, eq), value = words[i].substr(eq + 1);
+      if (name == "body")
+        body = value;
+      else
+        values.emplace_back(name, value);
+    }
+  }
+};
+
+void Same(const std::string& what, const std::string& got, const std::string& wanted) {
+  if (got != wanted) Wrong(what + ": got '" + got + "', expected '" + wanted + "'");
+}
+
+sockaddr_in Loopback(int port) {
+  sockaddr_in a{};
+  a.sin_family = AF_INET;
+  a.sin_port = htons(static_cast<std::uint16_t>(port));
+  a.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+  return a;
+}
+
+struct Listening {
+  Descriptor fd;
+  int port = 0;
+};
+
+Listening Listen() {
+  Listening out{Descriptor(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)), 0};
+  sockaddr_in address = Loopback(0);
+  socklen_t size = sizeof address;
+  auto* raw = reinterpret_cast<sockaddr*>(&address);
+  if (::bind(out.fd.get(), raw, size) != 0 || ::listen(out.fd.get(), 64) != 0) Wrong("cannot listen");
+  ::getsockname(out.fd.get(), raw, &size);
+  out.port = ntohs(address.sin_port);
+  return out;
+}
+
+void SendAll(int fd, const std::string& bytes) {
+  for (std::size_t at = 0; at < bytes.size();) {
+    const ssize_t n = ::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    if (n <= 0) return;  // the peer has closed: what comes back tells
+    at += static_cast<std::size_t>(n);
+  }
+}
+
+// Appends what has come on a descriptor that poll has named; false at its end.
+bool ReadSome(int fd, std::string& into) {
+  char bytes[65536];
+  const ssize_t n = ::recv(fd, bytes, sizeof bytes, 0);
+  if (n > 0) into.append(bytes, static_cast<std::size_t>(n));
+  return n > 0;
+}
+
+int Left(Clock::time_point until) {
+  return static_cast<int>(
+      std::max<std::int64_t>(0, std::chrono::ceil<std::chrono::milliseconds>(until - Clock::now()).count()));
+}
+
+class Client {
+ public:
+  explicit Client(int port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const sockaddr_in to = Loopback(port);
+    if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) Wrong("cannot connect");
+  }
+
+  void Send(const Words& words) {
+    if (words[2] == "bytes") return SendAll(fd_.get(), words[3]);
+    std::string out;
+    const auto stream = static_cast<std::uint32_t>(std::stoul(words[3]));
+    if (words[2] != "request") {
+      const bool ready = words[2] == "ready";
+      codec::WriteFrame(out, ready ? codec::kReadyAskFrame : codec::kCancelFrame, stream,
+                        ready ? std::string_view("\0", 1) : std::string_view());
+      return SendAll(fd_.get(), out);
+    }
+    Named named(words, 4);
+    std::map<std::string, std::string> fields = {
+        {"verb", "lookup"}, {"limit", "2000"}, {"team", "acme"}, {"cpu", "100.0"}, {"heap_mb", "8"}};
+    fields["txn"] = std::string(16 - words[3].size(), '0') + words[3];
+    for (const auto& [name, value] : named.values) fields[name] = value;
+    std::string payload(1, static_cast<char>(fields.size()));
+    for (const auto& [name, value] : fields) {
+      payload += static_cast<char>(name.size()) + name;
+      payload += static_cast<char>(value.size() & 0xff);
+      payload += static_cast<char>(value.size() >> 8);
+      payload += value;
+    }
+    codec::WriteFrame(out, codec::kRequestFrame, stream, payload + named.body.value_or("select 1"));
+    SendAll(fd_.get(), out);
+  }
+
+  void Expect(const Words& words) {
+    if (words[2] == "closed") {
+      codec::Frame frame;
+      if (Next(frame, kPatience)) Wrong("a frame came where the end was expected");
+      if (!ended_) Wrong("the connection was not closed");
+      return;
+    }
+    codec::Frame frame;
+    if (words[2] == "nothing") {
+      if (Next(frame, std::chrono::milliseconds(std::stoi(words[3])))) Wrong("an unexpected frame");
+      return;
+    }
+    Named named(words, words[2] == "answer" ? 5 : words[2] == "ready" ? 4 : 3);
+    auto patience = kPatience;
+    for (const auto& [name, value] : named.values) {
+      if (name == "within") patience = std::chrono::milliseconds(std::stoi(value));
+    }
+    if (!Next(frame, patience)) Wrong(ended_ ? "the connection was closed" : "nothing came");
+    const std::string kind = frame.type == codec::kAnswerFrame  ? "answer"
+                             : frame.type == codec::kReadyFrame ? "ready"
+                                                                : "drain";
+    Same("frame", kind, words[2]);
+    if (kind == "drain") return;
+    const bool answer = kind == "answer";
+    if (answer) Same("stream", std::to_string(frame.stream), words[3]);
+    Same("code", std::to_string(static_cast<int>(frame.payload.at(0))), words[answer ? 4 : 3]);
+    const auto fields = codec::ReadFields(frame.payload.substr(1));
+    if (!fields) Wrong("an answer that can't be read");
+    for (const auto& [name, value] : named.values) {
+      if (name != "within") Same(name, std::string(fields->Get(name)), value);
+    }
+    if (named.body) Same("body", std::string(fields->body), *named.body);
+  }
+
+ private:
+  bool Next(codec::Frame& frame, std::chrono::milliseconds wait) {
+    reader_.Compact(in_);
+    const auto until = Clock::now() + wait;
+    while (reader_.Next(in_, frame) != codec::FrameReader::Result::kFrame) {
+      pollfd p{fd_.get(), POLLIN, 0};
+      if (ended_ || ::poll(&p, 1, Left(until)) <= 0) return false;
+      ended_ = !ReadSome(fd_.get(), in_);
+    }
+    return true;
+  }
+
+  Descriptor fd_;
+  codec::FrameReader reader_;
+  std::string in_;
+  bool ended_ = false;
+};
+
+// An HTTP server that does as the scenario says: an engine, or the control feed.
+class Server {
+ public:
+  int port() const { return listening_.port; }
+
+  void Expect(const Words& words) {
+    if (words[2] == "nothing") {
+      if (Await(words[3], "", std::chrono::milliseconds(std::stoi(words[4]))))
+        Wrong("an unexpected " + words[3]);
+      return;
+    }
+    const auto call = Await(words[2], words[3], kPatience);
+    if (!call) Wrong("no such call; there are: " + Waiting());
+    last_ = call->connection;
+    const std::size_t end = call->text.find("\r\n\r\n");
+    Named named(words, 4);
+    for (const auto& [name, value] : named.values) {
+      const std::size_t at = call->text.find("\r\n" + name + ": ");
+      const std::size_t from = at + name.size() + 4;
+      const bool there = at < end;
+      Same(name, there ? call->text.substr(from, call->text.find("\r\n", from) - from) : "-", value);
+    }
+    if (named.body) Same("body", call->text.substr(end + 4), *named.body);
+  }
+
+  void Send(const Words& words) {
+    Named named(words, 3);
+    std::string out = "HTTP/1.1 " + words[2] + " X\r\n";
+    for (const auto& [name, value] : named.values) out += name + ": " + value + "\r\n";
+    if (words[2] != "204")
+      out += "Content-Length: " + std::to_string(named.body.value_or("").size()) + "\r\n";
+    SendAll(connections_.at(last_).fd.get(), out + "\r\n" + named.body.value_or(""));
+  }
+
+  // With a reset, as when a process dies.
+  void Close(const Words& words) {
+    const bool all = words[2] == "all";
+    for (auto& [number, connection] : connections_) {
+      if (!all && number != last_) continue;
+      const linger hard{1, 0};
+      ::setsockopt(connection.fd.get(), SOL_SOCKET, SO_LINGER, &hard, sizeof hard);
+      connection.fd = Descriptor();
+    }
+    std::erase_if(connections_, [](const auto& c) { return !c.second.fd; });
+    if (all) listening_.fd = Descriptor();
+  }
+
+ private:
+  struct Connection {
+    Descriptor fd;
+    std::string in;
+  };
+  struct Call {
+    int connection = 0;
+    std::string text;
+  };
+
+  std::optional<Call> Await(const std::string& method, const std::string& path,
+                            std::chrono::milliseconds wait) {
+    const auto until = Clock::now() + wait;
+    const std::string start = method + " " + (path.empty() ? "" : path + " ");
+    for (;;) {
+      for (auto it = calls_.begin(); it != calls_.end(); ++it) {
+        if (!it->text.starts_with(start)) continue;
+        const Call call = *it;
+        calls_.erase(it);
+        return call;
+      }
+      if (!Pump(until)) return std::nullopt;
+    }
+  }
+
+  // Accepts and reads; whole calls go to calls_. False once the time is up.
+  bool Pump(Clock::time_point until) {
+    std::vector<pollfd> polls = {{listening_.fd.get(), POLLIN, 0}};
+    std::vector<int> numbers = {-1};
+    for (auto& [number, connection] : connections_) {
+      polls.push_back({connection.fd.get(), POLLIN, 0});
+      numbers.push_back(number);
+    }
+    if (::poll(polls.data(), polls.size(), Left(until)) <= 0) return false;
+    if (polls[0].revents & POLLIN) {
+      connections_[next_++].fd = Descriptor(::accept4(listening_.fd.get(), nullptr, nullptr, SOCK_CLOEXEC));
+    }
+    for (std::size_t i = 1; i < polls.size(); ++i) {
+      if (polls[i].revents == 0) continue;
+      Connection& c = connections_.at(numbers[i]);
+      if (!ReadSome(c.fd.get(), c.in)) {
+        connections_.erase(numbers[i]);
+        continue;
+      }
+      const std::size_t end = c.in.find("\r\n\r\n");
+      if (end == std::string::npos) continue;
+      const std::size_t sized = c.in.find("Content-Length: ");
+      const std::size_t body = sized < end ? std::stoul(c.in.substr(sized + 16)) : 0;
+      if (c.in.size() < end + 4 + body) continue;
+      calls_.push_back({numbers[i], c.in.substr(0, end + 4 + body)});
+      c.in.erase(0, end + 4 + body);
+    }
+    return true;
+  }
+
+  std::string Waiting() const {
+    std::string out;
+    for (const Call& call : calls_) out += call.text.substr(0, call.text.find("\r\n")) + "; ";
+    return out;
+  }
+
+  Listening listening_ = Listen();
+  std::map<int, Connection> connections_;
+  std::vector<Call> calls_;
+  int next_ = 0, last_ = -1;
+};
+
+constexpr const char* kConfig = R"({"name":"n1","listen":"LISTEN","seed":"8c1f30d27a5be964",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"FEED","known":KNOWN,
+"settings":{"siblings":1,"me":0,"zone":0,"dcs":["dc"],"flavors":["std"],"tickNs":5000000,"membershipMode":"pushed",
+"requestClasses":[
+{"name":"lookup","promiseNs":600000000,"deadlineNs":3000000000,"credit":1.0,"lateWorth":0.1,"effect":"pure","group":"all"},
+{"name":"load","promiseNs":3000000000,"deadlineNs":20000000000,"credit":12.0,"lateWorth":0.6,"effect":"token",
+ "group":"all","repeatWindowNs":20000000000}],
+"tenants":[{"name":"acme","portion":1.0,"quotaPerS":1000}],
+"report":{"fields":[],"source":"none"},
+"specifics":{"threadsByClass":[1,2],"holdsTables":[false,true],"blockedByLoads":[false,false],"cpuOfKind":[8],
+"ramOfKindMb":[16384],"maxGrantShare":0.4,"takesGrants":true,"ranksHeeded":true,"saysCost":true,
+"memoryShort":"queue","progressNs":0},
+"limits":{"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxAttempts":5,"maxOpen":1000,"maxRetryAfterNs":1000000000,
+"connectTimeoutNs":250000000,"keepaliveNs":15000000000,"probing":true,"peers":false},
+"guarantees":{"answerSlackNs":20000000,"drainGraceNs":250000000,"coldFrom":0.31,"warmWithinNs":14000000000,
+"overloadFactor":4.0,"fallNs":1000000000}}})";
+
+class World {
+ public:
+  ~World() {
+    if (pid_ > 0) {
+      ::kill(pid_, SIGKILL);
+      ::waitpid(pid_, nullptr, 0);
+    }
+    if (!folder_.empty()) std::system(("rm -rf " + folder_).c_str());
+  }
+
+  void Do(const Words& w) {
+    const std::string& party = w[0];
+    if (party == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(w.at(1))));
+    if (party == "engine") return void(servers_.try_emplace(w.at(1)));
+    if (party == "config") return void(config_.emplace_back(w.at(1), w.at(2)));
+    if (party == "program") return Program(w);
+    const bool send = w.at(1) == "send", expect = w[1] == "expect", close = w[1] == "close";
+    if (!send && !expect && !close) Wrong("unknown verb " + w[1]);
+    if (IsParser(party)) {
+      if (send) parsed_ = ParsedBy(party, w.at(2));
+      if (expect) Same(party, parsed_, w.at(2));
+      return;
+    }
+    if (const auto it = servers_.find(party); it != servers_.end()) {
+      Words filled = w;
+      for (std::string& word : filled) Fill(word);
+      return send ? it->second.Send(filled) : expect ? it->second.Expect(filled) : it->second.Close(filled);
+    }
+    if (close) return void(clients_.erase(party));
+    Client& client = clients_.try_emplace(party, listen_).first->second;
+    send ? client.Send(w) : client.Expect(w);
+  }
+
+  std::string Log() const { return folder_.empty() ? "" : Read(folder_ + "/log"); }
+
+ private:
+  static std::string Read(const std::string& path) {
+    std::ostringstream out;
+    out << std::ifstream(path).rdbuf();
+    return out.str();
+  }
+
+  static void Replace(std::string& text, const std::string& what, const std::string& by) {
+    for (std::size_t at = 0; (at = text.find(what, at)) != std::string::npos; at += by.size()) {
+      text.replace(at, what.size(), by);
+    }
+  }
+
+  void Fill(std::string& text) const {
+    for (const auto& [name, server] : servers_) {
+      Replace(text, "{" + name + "}", "127.0.0.1:" + std::to_string(server.port()));
+    }
+  }
+
+  std::string ConfigText() {
+    std::string known;
+    for (const auto& [name, server] : servers_) {
+      if (name == "feed") continue;
+      known += std::string(known.empty() ? "" : ",") + R"({"id":")" + name + R"(","host_port":"{)" + name +
+               R"(}","locality":"dc","flavor":"std","cell":0,"phase":"Ready","size":1,"up_since_ms":0})";
+    }
+    Fill(known);
+    std::string text = kConfig;
+    Replace(
+        text, "KNOWN",
+        R"({"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[)" + known + "]}}]}");
+    std::string feed = servers_.contains("feed") ? "{feed}" : "";
+    Fill(feed);
+    Replace(text, "FEED", feed);
+    Replace(text, "LISTEN", "127.0.0.1:" + std::to_string(listen_));
+    for (const auto& [key, value] : config_) {
+      const std::size_t at = text.find("\"" + key + "\":");
+      if (at == std::string::npos) Wrong("no such key: " + key);
+      const std::size_t from = at + key.size() + 3;
+      text.replace(from, text.find_first_of(",}]\n", from) - from, value);
+    }
+    return text;
+  }
+
+  void Launch(Words args) {
+    if (folder_.empty()) {
+      char name[] = "/tmp/scenario-XXXXXX";
+      folder_ = ::mkdtemp(name);
+      listen_ = Listen().port;  // free a moment ago
+      std::ofstream(folder_ + "/config.json") << ConfigText();
+    }
+    args.insert(args.begin(), LEMONCROFT_PROGRAM);
+    pid_ = ::fork();
+    if (pid_ != 0) return;
+    ::setenv("PROXY_CONFIG", (folder_ + "/config.json").c_str(), 1);
+    const int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
+    ::dup2(log, 1);
+    ::dup2(log, 2);
+    std::vector<char*> argv;
+    for (std::string& arg : args) argv.push_back(arg.data());
+    argv.push_back(nullptr);
+    ::execv(argv[0], argv.data());
+    ::_exit(127);
+  }
+
+  void AwaitReady() {
+    for (const auto until = Clock::now() + kPatience;; std::this_thread::sleep_for(10ms)) {
+      try {
+        Client client(listen_);
+        client.Send({"", "send", "ready", "1"});
+        client.Expect({"", "expect", "ready", "0"});
+        return;
+      } catch (const std::runtime_error& e) {
+        if (Clock::now() > until) Wrong(std::string("the program did not become ready: ") + e.what());
+      }
+    }
+  }
+
+  void Program(const Words& w) {
+    if (w.at(1) == "start") {
+      Launch({"serve", "--log-level", "debug"});
+      return AwaitReady();
+    }
+    if (w[1] == "run") return Launch(Words(w.begin() + 2, w.end()));
+    if (w[1] == "send") return void(::kill(pid_, SIGTERM));
+    if (w[1] != "expect") Wrong("unknown verb " + w[1]);
+    int status = 0;
+    const auto until = Clock::now() + kPatience;
+    while (::waitpid(pid_, &status, WNOHANG) == 0) {
+      if (Clock::now() > until) Wrong("the program has not ended");
+      std::this_thread::sleep_for(5ms);
+    }
+    pid_ = 0;
+    Same("exit", WIFEXITED(status) ? std::to_string(WEXITSTATUS(status)) : "signal", w.at(3));
+    if (w.size() > 4 && Log().find(w[4]) == std::string::npos) Wrong("the output lacks '" + w[4] + "'");
+  }
+
+  std::map<std::string, Server> servers_;
+  std::map<std::string, Client> clients_;
+  std::vector<std::pair<std::string, std::string>> config_;
+  std::string folder_, parsed_;
+  int listen_ = 0;
+  pid_t pid_ = 0;
+};
+
+}  // namespace
+
+std::vector<Scenario> ReadScenarios(const std::string& path) {
+  std::vector<Scenario> out;
+  std::ifstream file(path);
+  int number = 0;
+  for (std::string line; std::getline(file, line);) {
+    ++number;
+    if (line.starts_with("== ")) {
+      out.push_back({line.substr(3), {}});
+    } else if (Words words = Split(line); !words.empty()) {
+      if (out.empty()) Wrong(path + ": a step before the first scenario");
+      out.back().steps.push_back({number, std::move(words)});
+    }
+  }
+  return out;
+}
+
+void Play(const Scenario& scenario) {
+  World world;
+  for (const Step& step : scenario.steps) {
+    try {
+      world.Do(step.words);
+    } catch (const std::exception& e) {
+      throw std::runtime_error("line " + std::to_string(step.line) + ": " + e.what() + "\n" + world.Log());
+    }
+  }
+}
+
+}  // namespace lemoncroft::scenario
--- /dev/null
+++ b/tests/scenario_parsers.cpp
@@ -0,0 +1,88 @@
+// The parsers as parties of a scenario. Incremental ones are fed byte by byte.
+#include <functional>
+
+#include "cli/config.h"
+#include "codec/frame.h"
+#include "codec/http.h"
+#include "codec/json.h"
+#include "codec/statement.h"
+#include "scenario.h"
+
+namespace lemoncroft::scenario {
+namespace {
+
+std::string Json(const std::string& text) {
+  const codec::Json json = codec::Json::Parse(text);
+  if (!json.Is(codec::Json::Kind::kObject)) return json.text;
+  return json["a"].text + "|" + std::to_string(json["a"].items.size());
+}
+
+std::string Http(const std::string& text) {
+  codec::HttpParser parser({256, 64});
+  std::string buffer;
+  auto state = codec::HttpParser::State::kNeedMore;
+  for (const char c : text) {
+    buffer.push_back(c);
+    if (state == codec::HttpParser::State::kNeedMore) state = parser.Feed(buffer);
+  }
+  if (state == codec::HttpParser::State::kNeedMore) state = parser.Finish();
+  if (state == codec::HttpParser::State::kBad) return "bad";
+  const codec::HttpResponse& r = parser.response();
+  const std::string* x = r.Find("x-a");
+  return std::to_string(r.status) + " " + r.body + " x-a=" + (x ? *x : "-") +
+         (r.keep_alive ? " keep" : " close") + " left=" + buffer;
+}
+
+std::string Frames(const std::string& text) {
+  codec::FrameReader reader;
+  std::string buffer, out;
+  for (const char c : text) {
+    buffer.push_back(c);
+    codec::Frame frame;
+    const auto result = reader.Next(buffer, frame);
+    if (result == codec::FrameReader::Result::kBadLength) return out + "bad length";
+    if (result == codec::FrameReader::Result::kNeedMore) continue;
+    out += std::to_string(frame.type) + ":" + std::to_string(frame.stream);
+    if (const auto fields = codec::ReadFields(frame.payload)) {
+      for (const auto& [name, value] : fields->fields) out.append(" ").append(name).append("=").append(value);
+      out.append(" body=").append(fields->body);
+    } else {
+      out += " malformed";
+    }
+    out += ";";
+    reader.Compact(buffer);
+  }
+  return out;
+}
+
+std::string Settings(const std::string& text) {
+  const settings::Site site = settings::ParseSite(cli::Flatten(codec::Json::Parse(text)));
+  std::string out = std::to_string(site.module.gateways);
+  for (std::size_t i = 0; i < site.classes.size(); ++i) {
+    out += " " + site.classes[i] + ":" + std::to_string(site.module.classes[i].threads);
+  }
+  for (const std::string& kind : site.kinds) out += " " + kind;
+  return out;
+}
+
+const std::map<std::string, std::function<std::string(const std::string&)>> kParsers = {
+    {"json", Json},
+    {"http", Http},
+    {"frames", Frames},
+    {"settings", Settings},
+    {"statement", [](const std::string& text) { return std::to_string(codec::TableGroup(text)); }},
+};
+
+}  // namespace
+
+bool IsParser(const std::string& party) { return kParsers.contains(party); }
+
+std::string ParsedBy(const std::string& party, const std::string& text) {
+  try {
+    return kParsers.at(party)(text);
+  } catch (const std::exception& e) {
+    return std::string("error: ") + e.what();
+  }
+}
+
+}  // namespace lemoncroft::scenario
