--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -52,11 +52,15 @@
   if (outcome == Outcome::kOk) outcome = co_await FetchPages(query);
   query.result.outcome = outcome;
   const std::string& id = attempt.passed->id;
-  // An attempt that may still run is given up. A cancelled one has ended once the engine knows: the next
-  // attempt may go to the same engine under the same id, and must not be the one that is deleted.
-  if (outcome == Outcome::kCancelled) co_await Order(attempt.engine, "DELETE", id, {});
-  if (outcome == Outcome::kTimeout || outcome == Outcome::kReset) {
+  // An attempt that may still run is given up, and has ended once the engine knows: the next attempt may go
+  // to the same engine under the same id, and must not be the one that is deleted. At the deadline there is
+  // none.
+  const bool may_run =
+      outcome == Outcome::kCancelled || outcome == Outcome::kTimeout || outcome == Outcome::kReset;
+  if (may_run && Now() >= attempt.deadline) {
     loop_.Spawn(Order(attempt.engine, "DELETE", id, {}));
+  } else if (may_run) {
+    co_await Order(attempt.engine, "DELETE", id, {});
   }
   if (query.lease && query.lease->pending()) loop_.Spawn(Settle(std::move(query.lease)));
   co_return std::move(query.result);
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -23,6 +23,8 @@
 struct Overloaded : F... {
   using F::operator()...;
 };
+template <typename... F>
+Overloaded(F...) -> Overloaded<F...>;
 
 }  // namespace
 
--- a/src/cli/config.cpp
+++ b/src/cli/config.cpp
@@ -20,7 +20,8 @@
 void FlattenInto(settings::Pairs& out, const std::string& path, const Json& json) {
   const std::string prefix = path.empty() ? "" : path + ".";
   if (json.Is(Json::Kind::kObject)) {
-    for (const auto& [name, value] : json.members) FlattenInto(out, prefix + name, value);
+    for (std::size_t i = 0; i < json.names.size(); ++i)
+      FlattenInto(out, prefix + json.names[i], json.items[i]);
     return;
   }
   if (!json.Is(Json::Kind::kArray)) return out.Set(path, json.text);
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -65,9 +65,9 @@
     do {
       Blank();
       if (Peek() != '"') Bad("a member's name expected");
-      std::string name = Text();
+      out.names.push_back(Text());
       if (!Take(':')) Bad("':' expected");
-      out.members.emplace_back(std::move(name), Value(depth + 1));
+      out.items.push_back(Value(depth + 1));
     } while (Take(','));
     if (!Take('}')) Bad("'}' expected");
   }
@@ -174,8 +174,8 @@
 
 const Json& Json::operator[](std::string_view name) const {
   static const Json kAbsent;
-  for (const auto& [key, value] : members) {
-    if (key == name) return value;
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    if (names[i] == name) return items[i];
   }
   return kAbsent;
 }
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -6,7 +6,6 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
-#include <utility>
 #include <vector>
 
 namespace lemoncroft::codec {
@@ -20,9 +19,9 @@
   enum class Kind { kNull, kBool, kNumber, kText, kArray, kObject };
 
   Kind kind = Kind::kNull;
-  std::string text;  // a text's characters; a number or a truth value as it was written
-  std::vector<Json> items;
-  std::vector<std::pair<std::string, Json>> members;  // in their order
+  std::string text;                // a text's characters; a number or a truth value as it was written
+  std::vector<Json> items;         // of an array, or the values of an object's members in their order
+  std::vector<std::string> names;  // of these members
 
   // Throws JsonError for anything that is not one whole JSON value, or is nested too deeply.
   static Json Parse(std::string_view text);
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -10,10 +10,12 @@
 using namespace std::chrono_literals;
 using runtime::Io;
 
-constexpr auto kWait = 1000ms;  // asked of the feed: short, so that a dead connection shows soon
-constexpr auto kGrace = 400ms;  // beyond it until a silent feed counts as lost
-constexpr auto kConnect = 400ms;
-constexpr auto kPause = 50ms;  // between connections
+// An event counts as told once the feed has it, and work to an engine that drains must stop 250 ms later: a
+// connection that has died silently must show well before that.
+constexpr auto kWait = 150ms;   // asked of the feed
+constexpr auto kGrace = 100ms;  // beyond it until a silent feed counts as lost
+constexpr auto kConnect = 250ms;
+constexpr auto kPause = 10ms;  // between connections
 constexpr codec::HttpParser::Limits kLimits{16 * 1024, 4 * 1024 * 1024};
 
 }  // namespace
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -338,20 +338,21 @@
 
 constexpr const char* kConfig = R"({"name":"n1","listen":"LISTEN","seed":"8c1f30d27a5be964",
 "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"FEED","known":KNOWN,
-"settings":{"siblings":1,"me":0,"zone":0,"dcs":["dc"],"flavors":["std"],"tickNs":5000000,"membershipMode":"pushed",
-"requestClasses":[
-{"name":"lookup","promiseNs":600000000,"deadlineNs":3000000000,"credit":1.0,"lateWorth":0.1,"effect":"pure","group":"all"},
-{"name":"load","promiseNs":3000000000,"deadlineNs":20000000000,"credit":12.0,"lateWorth":0.6,"effect":"token",
- "group":"all","repeatWindowNs":20000000000}],
+"settings":{"siblings":1,"me":0,"zone":0,"dcs":["dc"],"flavors":["std"],"tickNs":5000000,
+"membershipMode":"pushed","requestClasses":[
+{"name":"lookup","promiseNs":600000000,"deadlineNs":3000000000,"credit":1.0,"lateWorth":0.1,
+ "effect":"pure","group":"all"},
+{"name":"load","promiseNs":3000000000,"deadlineNs":20000000000,"credit":12.0,"lateWorth":0.6,
+ "effect":"token","group":"all","repeatWindowNs":20000000000}],
 "tenants":[{"name":"acme","portion":1.0,"quotaPerS":1000}],
 "report":{"fields":[],"source":"none"},
-"specifics":{"threadsByClass":[1,2],"holdsTables":[false,true],"blockedByLoads":[false,false],"cpuOfKind":[8],
-"ramOfKindMb":[16384],"maxGrantShare":0.4,"takesGrants":true,"ranksHeeded":true,"saysCost":true,
-"memoryShort":"queue","progressNs":0},
-"limits":{"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxAttempts":5,"maxOpen":1000,"maxRetryAfterNs":1000000000,
-"connectTimeoutNs":250000000,"keepaliveNs":15000000000,"probing":true,"peers":false},
-"guarantees":{"answerSlackNs":20000000,"drainGraceNs":250000000,"coldFrom":0.31,"warmWithinNs":14000000000,
-"overloadFactor":4.0,"fallNs":1000000000}}})";
+"specifics":{"threadsByClass":[1,2],"holdsTables":[false,true],"blockedByLoads":[false,false],
+"cpuOfKind":[8],"ramOfKindMb":[16384],"maxGrantShare":0.4,"takesGrants":true,"ranksHeeded":true,
+"saysCost":true,"memoryShort":"queue","progressNs":0},
+"limits":{"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxAttempts":5,"maxOpen":1000,
+"maxRetryAfterNs":1000000000,"connectTimeoutNs":250000000,"keepaliveNs":15000000000,"probing":true},
+"guarantees":{"answerSlackNs":20000000,"drainGraceNs":250000000,"coldFrom":0.31,
+"warmWithinNs":14000000000,"overloadFactor":4.0,"fallNs":1000000000}}})";
 
 class World {
  public:
--- a/tests/scenario_test.cpp
+++ b/tests/scenario_test.cpp
@@ -29,6 +29,7 @@
 int main(int argc, char** argv) {
   testing::InitGoogleTest(&argc, argv);
   for (const auto& file : std::filesystem::directory_iterator(LEMONCROFT_SCENARIOS)) {
+    if (file.path().extension() != ".scenario") continue;
     for (const auto& scenario : lemoncroft::scenario::ReadScenarios(file.path())) {
       std::string name = scenario.name;
       std::replace_if(
