--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -17,8 +17,7 @@
 constexpr auto kSilence = 1000ms;  // an engine answers within 250 ms: past this it is cut off
 constexpr auto kLinger = 400ms;    // for the answer to a question that no longer matters
 constexpr int kPagesMost = 256;
-constexpr std::size_t kRowsMost =
-    192 * 1024;  // a result has 48,000 bytes at most; an answer's frame holds this
+constexpr std::size_t kRowsMost = 64 * 1024;  // a result has 48,000 bytes at most
 
 std::string PathOf(const std::string& id) { return "/v2/q/" + id; }
 
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -43,6 +43,10 @@
   frontend::FrameServer::Limits limits;
   const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
   limits.connections = sockets * 2 / 5;  // clients hold a third; a reconnect may cross a close
+  if (config.memory_mb > 0) {
+    limits.unread_by_all = (config.memory_mb << 20) / 8;
+    limits.unparsed_of_all = (config.memory_mb << 20) / 4;
+  }
   return limits;
 }
 
@@ -51,7 +55,7 @@
   if (config.site.max_open > 0) {
     limits.requests = std::min(limits.requests, static_cast<std::size_t>(config.site.max_open));
   }
-  if (config.memory_mb > 0) limits.bytes = (config.memory_mb << 20) / 4;
+  if (config.memory_mb > 0) limits.bytes = (config.memory_mb << 20) / 8;
   return limits;
 }
 
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -49,6 +49,7 @@
 struct FrameServer::Connection {
   std::unique_ptr<runtime::Socket> socket;
   std::string in;
+  std::size_t counted = 0;  // of `in`, in the server's total
   FrameReader reader;
   std::string out;  // not yet handed to the writer
   bool writing = false;
@@ -122,7 +123,10 @@
   ++open_;
   loop_.Spawn(WriteOut(connection));
   while (co_await c.socket->Read(c.in, kReadAtOnce, runtime::kNever, &c.stop_reading) == Io::kOk) {
-    if (TakeFrames(connection)) continue;
+    const bool readable = TakeFrames(connection);
+    // Half frames of all clients together are bounded: the one that passes that is cut off, not the process.
+    if (!Count(c)) break;
+    if (readable) continue;
     // Frames can't be told apart any more. What was taken before is still answered, then the connection ends.
     while (!c.streams.empty() && !c.stop_reading.cancelled()) {
       co_await runtime::Waiter(loop_, &c.drained, runtime::kNever, &c.stop_reading);
@@ -130,11 +134,20 @@
     break;
   }
   Abandon(c);
+  c.in = std::string();
+  Count(c);
   c.closed = true;
   c.written.Open();
   --open_;
 }
 
+bool FrameServer::Count(Connection& c) {
+  if (c.in.empty() && c.in.capacity() > 4 * kReadAtOnce) c.in = std::string();
+  unparsed_ += c.in.size() - c.counted;
+  c.counted = c.in.size();
+  return unparsed_ <= limits_.unparsed_of_all;
+}
+
 // Writes what has been appended, all that came within a round of the loop at once.
 Task<> FrameServer::WriteOut(ConnectionPtr connection) {
   Connection& c = *connection;
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -22,6 +22,7 @@
     std::size_t connections = 400;
     std::size_t unread = std::size_t{4} << 20;  // bytes of answers that a client leaves unread
     std::size_t unread_by_all = std::size_t{32} << 20;
+    std::size_t unparsed_of_all = std::size_t{48} << 20;  // bytes of frames that have not come whole
   };
 
   FrameServer(runtime::Loop& loop, const runtime::Address& listen, const settings::Site& site,
@@ -52,6 +53,7 @@
   void Append(Connection& connection, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
               const codec::FieldViews& fields = {}, std::string_view body = {});
   void Abandon(Connection& connection);
+  bool Count(Connection& connection);  // its half frame in the total; false: that is too much
 
   runtime::Loop& loop_;
   const settings::Site& site_;
@@ -62,6 +64,7 @@
   std::list<std::weak_ptr<Connection>> connections_;
   std::size_t open_ = 0;
   std::size_t unread_ = 0;  // bytes handed to the writers and not yet to the kernel
+  std::size_t unparsed_ = 0;
   bool ready_ = false;
 };
 
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -147,6 +147,11 @@
   void Send(const Words& words) {
     if (words[2] == "bytes") return SendAll(fd_.get(), words[3]);
     std::string out;
+    if (words[2] == "half") {
+      codec::WriteFrame(out, codec::kRequestFrame, 1, std::string(std::stoul(words[3]), 'x'));
+      out.pop_back();
+      return SendAll(fd_.get(), out);
+    }
     const auto stream = static_cast<std::uint32_t>(std::stoul(words[3]));
     if (words[2] != "request") {
       const bool ready = words[2] == "ready";
