--- a/src/main.cpp
+++ b/src/main.cpp
@@ -13,7 +13,7 @@
 
 namespace {
 
-constexpr const char* kVersion = "0.1.0";
+constexpr const char* kVersion = LEMONCROFT_VERSION;  // the project's, from the build
 constexpr int kUsageError = 2;
 
 constexpr const char* kUsage =
