Keep the feed and the acceptor running when epoll has no room

Seen by reading: Socket's constructor throws where epoll_ctl fails, and an exception ends the task it reaches; for the control feed or the acceptor that would be for good. Connect and Accept now say kNoDescriptors (src/runtime/socket.cpp, OnLoop), which both outlive. It can't be brought about on this machine without a kernel limit, so there is no scenario for it.

--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -60,13 +60,7 @@
   const std::uint64_t life = member->life;
   std::unique_ptr<runtime::Socket> socket;
   ++open_;  // counted before it is up, so that many at a time can't pass the limit
-  Io io = Io::kClosed;
-  try {
-    io = co_await Connect(loop_, member->address, deadline, cancel, socket);
-  } catch (...) {
-    --open_;
-    throw;
-  }
+  Io io = co_await Connect(loop_, member->address, deadline, cancel, socket);
   // The list may have changed meanwhile: the address may be another engine's now.
   member = directory_.Find(engine);
   if (io == Io::kOk && (member == nullptr || member->life != life)) io = Io::kClosed;
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -21,6 +21,15 @@
   ::setsockopt(fd, level, name, &on, sizeof on);
 }
 
+// Null where epoll has no room for it: a shortage, which must not end the task that met it.
+std::unique_ptr<Socket> OnLoop(Loop& loop, Descriptor fd) {
+  try {
+    return std::make_unique<Socket>(loop, std::move(fd));
+  } catch (const std::system_error&) {
+    return nullptr;
+  }
+}
+
 Descriptor Listening(const Address& address) {
   Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) throw std::system_error(errno, std::generic_category(), "socket");
@@ -97,7 +106,8 @@
   // Watched only once the handshake is under way: before it, epoll reports a socket as hung up.
   const int failed = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw);
   if (failed != 0 && errno != EINPROGRESS) co_return errno == ECONNREFUSED ? Io::kRefused : Io::kClosed;
-  auto socket = std::make_unique<Socket>(loop, std::move(fd));
+  std::unique_ptr<Socket> socket = OnLoop(loop, std::move(fd));
+  if (!socket) co_return Io::kNoDescriptors;
   if (failed != 0) {
     const Wake wake = co_await Waiter(loop, &socket->watched_.writable, deadline, cancel);
     if (wake != Wake::kReady) co_return FromWake(wake);
@@ -117,8 +127,8 @@
     Descriptor fd(::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (fd) {
       SetOption(fd.get(), IPPROTO_TCP, TCP_NODELAY);
-      out = std::make_unique<Socket>(loop_, std::move(fd));
-      co_return Io::kOk;
+      out = OnLoop(loop_, std::move(fd));
+      co_return out ? Io::kOk : Io::kNoDescriptors;
     }
     if (errno == EMFILE || errno == ENFILE || errno == ENOMEM || errno == ENOBUFS) {
       co_return Io::kNoDescriptors;
