--- a/examples/embed.cpp
+++ b/examples/embed.cpp
@@ -2,10 +2,10 @@
 #include <cstdio>
 #include <memory>
 
-#include "yewfield/gateway.h"
+#include "lemoncroft/gateway.h"
 
 int main() {
-  using namespace yewfield;
+  using namespace lemoncroft;
   Settings settings;
   settings.classes.resize(1);
   settings.classes[0].aim = 500'000'000;
@@ -25,7 +25,8 @@
   bool sent = false;
   for (const Action& action : actions) {
     if (const auto* send = std::get_if<Send>(&action)) {
-      std::printf("request %d goes to engine %d\n", static_cast<int>(send->id), static_cast<int>(send->engine));
+      std::printf("request %d goes to engine %d\n", static_cast<int>(send->id),
+                  static_cast<int>(send->engine));
       sent = send->id == 7 && send->engine == 42;
     }
   }
--- a/include/yewfield/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -1,4 +1,4 @@
-// The interface of the yewfield decision module: what a gateway is told (Settings, Event), what it asks its
+// The interface of the lemoncroft decision module: what a gateway is told (Settings, Event), what it asks its
 // host to do (Action), and the Gateway that maps the one to the other. See docs/design.md for how it decides.
 //
 // Contract. One Gateway serves one gateway process and is used by one thread at a time; instances share
@@ -6,8 +6,8 @@
 // earlier time is taken as the last one). The same settings, seed and sequence of Step calls give the same
 // actions. Every Request ends in one final answer: a served outcome (finished set), Refuse or Fail. Events
 // about ids that the gateway does not know are ignored.
-#ifndef YEWFIELD_GATEWAY_H_
-#define YEWFIELD_GATEWAY_H_
+#ifndef LEMONCROFT_GATEWAY_H_
+#define LEMONCROFT_GATEWAY_H_
 
 #include <array>
 #include <cstdint>
@@ -18,7 +18,7 @@
 #include <variant>
 #include <vector>
 
-namespace yewfield {
+namespace lemoncroft {
 
 using Nanos = std::int64_t;  // a point in time or a span of it, in nanoseconds
 using RequestId = std::uint64_t;
@@ -246,6 +246,6 @@
   std::unique_ptr<Impl> impl_;
 };
 
-}  // namespace yewfield
+}  // namespace lemoncroft
 
-#endif  // YEWFIELD_GATEWAY_H_
+#endif  // LEMONCROFT_GATEWAY_H_
--- a/src/benchlink/wire.cpp
+++ b/src/benchlink/wire.cpp
@@ -7,7 +7,7 @@
 #include <limits>
 #include <utility>
 
-namespace yewfield::benchlink {
+namespace lemoncroft::benchlink {
 namespace {
 
 [[noreturn]] void Bad(const std::string& what, std::size_t at) {
@@ -558,4 +558,4 @@
   return bytes_;
 }
 
-}  // namespace yewfield::benchlink
+}  // namespace lemoncroft::benchlink
--- a/src/benchlink/wire.h
+++ b/src/benchlink/wire.h
@@ -1,6 +1,6 @@
 // Codec of the bench's wire: frames of big-endian records to and from the gateway's interface.
-#ifndef YEWFIELD_BENCHLINK_WIRE_H_
-#define YEWFIELD_BENCHLINK_WIRE_H_
+#ifndef LEMONCROFT_BENCHLINK_WIRE_H_
+#define LEMONCROFT_BENCHLINK_WIRE_H_
 
 #include <array>
 #include <cstdint>
@@ -11,9 +11,9 @@
 #include <string_view>
 #include <vector>
 
-#include "yewfield/gateway.h"
+#include "lemoncroft/gateway.h"
 
-namespace yewfield::benchlink {
+namespace lemoncroft::benchlink {
 
 inline constexpr std::size_t kBatchHeaderBytes = 16;
 inline constexpr std::size_t kMaxFrameBytes = std::size_t{1} << 30;
@@ -67,6 +67,6 @@
   std::uint32_t records_ = 0;
 };
 
-}  // namespace yewfield::benchlink
+}  // namespace lemoncroft::benchlink
 
-#endif  // YEWFIELD_BENCHLINK_WIRE_H_
+#endif  // LEMONCROFT_BENCHLINK_WIRE_H_
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -1,7 +1,7 @@
-// The decision module. Its interface - settings, events, actions - is include/yewfield/gateway.h; what is
+// The decision module. Its interface - settings, events, actions - is include/lemoncroft/gateway.h; what is
 // kept of the design, what is added and when each addition acts is in docs/design.md.
 // Reading order: tuned constants, state, then a request's life: taken, held, released, run, ended, answered.
-#include "yewfield/gateway.h"
+#include "lemoncroft/gateway.h"
 
 #include <algorithm>
 #include <cmath>
@@ -13,7 +13,7 @@
 #include <set>
 #include <unordered_map>
 
-namespace yewfield {
+namespace lemoncroft {
 namespace {
 
 constexpr Nanos kMs = 1'000'000;
@@ -832,7 +832,7 @@
     out_->push_back(LogLine{"engine " + std::to_string(e.entry.engine) + " ejected: attempts fail"});
   }
 
-  // ---- Feedback on the bound (Schroeder et al., section 4.3; DESIGN-yewfield.md) ----
+  // ---- Feedback on the bound (Schroeder et al., section 4.3; DESIGN-lemoncroft.md) ----
 
   void ClosePeriods() {
     for (auto& [id, e] : engines_) {
@@ -938,4 +938,4 @@
   impl_->Step(now, events, actions);
 }
 
-}  // namespace yewfield
+}  // namespace lemoncroft
