Read the configuration again on SIGHUP and follow the feed at its new address

SIGHUP is now held back from main's first instruction on, the file is read and checked whole, and the feed leaves its call at once and goes on by number. Seen on the way: an event of the feed made an ending process answer 'ready' again (tell -> set_ready); fixed in FrameServer.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -5,6 +5,7 @@
 
 #include <algorithm>
 #include <csignal>
+#include <functional>
 #include <system_error>
 
 #include "backend/engines.h"
@@ -59,24 +60,28 @@
   return limits;
 }
 
+sigset_t HandledSignals() {
+  sigset_t set;
+  sigemptyset(&set);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP}) sigaddset(&set, signal);
+  return set;
+}
+
 class Signals {
  public:
   explicit Signals(runtime::Loop& loop) : loop_(loop) {
-    sigset_t set;
-    sigemptyset(&set);
-    sigaddset(&set, SIGTERM);
-    sigaddset(&set, SIGINT);
-    sigprocmask(SIG_BLOCK, &set, nullptr);
+    const sigset_t set = HandledSignals();
     fd_ = runtime::Descriptor(::signalfd(-1, &set, SFD_NONBLOCK | SFD_CLOEXEC));
     if (!fd_) throw std::system_error(errno, std::generic_category(), "signalfd");
     loop_.Watch(fd_.get(), &watched_);
   }
 
-  Task<> Next() {
+  Task<int> Next() {
     signalfd_siginfo info{};
     while (::read(fd_.get(), &info, sizeof info) != sizeof info) {
       co_await runtime::Waiter(loop_, &watched_.readable, runtime::kNever);
     }
+    co_return static_cast<int>(info.ssi_signo);
   }
 
  private:
@@ -85,13 +90,24 @@
   runtime::Descriptor fd_;
 };
 
-// Waits for a signal, then lets what was taken come to its end.
-Task<> EndOnSignal(runtime::Loop& loop, Signals& signals, frontend::FrameServer& server,
-                   broker::Broker& broker) {
-  co_await signals.Next();
+// What a new file changes while the process runs: the control feed's address, and events it knows that are
+// new. All else belongs to a process's start. A file that can't be used changes nothing.
+void Reload(const std::string& path, membership::Directory& directory, membership::Feed& feed,
+            const std::function<void(EngineList)>& tell) {
+  try {
+    Config config = LoadConfig(path);
+    directory.Apply(config.known, tell);
+    spdlog::info("configuration read again: control feed at {}", config.feed);
+    feed.MoveTo(std::move(config.feed));
+  } catch (const std::exception& e) {
+    spdlog::error("configuration not taken, the old one stays: {}", e.what());
+  }
+}
+
+// Lets what was taken come to its end.
+Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker) {
   const Time since = Now();
   spdlog::info("ending: {} requests open", broker.open());
-  server.set_ready(false);
   server.AnnounceEnd();
   co_await loop.SleepUntil(since + kAcceptFor);
   server.StopAccepting();
@@ -105,7 +121,13 @@
 
 }  // namespace
 
-int RunProxy(const Config& config) {
+void HoldSignals() {
+  const sigset_t set = HandledSignals();
+  sigprocmask(SIG_BLOCK, &set, nullptr);
+}
+
+int RunProxy(const Config& config, const std::string& path) {
+  HoldSignals();
   std::signal(SIGPIPE, SIG_IGN);
   runtime::Loop loop;
   Signals signals(loop);
@@ -123,11 +145,16 @@
   };
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
   membership::Feed feed(loop, directory, config.feed, tell);
-  if (!config.feed.empty()) loop.Spawn(feed.Run());
+  loop.Spawn(feed.Run());
   loop.Spawn(engines.pool().CloseIdle());
   broker.Start();
   server.Start();
-  loop.Spawn(EndOnSignal(loop, signals, server, broker));
+  // Signals that come while one is handled are not lost: the next turn reads them.
+  const auto handle_signals = [&]() -> Task<> {
+    while (co_await signals.Next() == SIGHUP) Reload(path, directory, feed, tell);
+    co_await End(loop, server, broker);
+  };
+  loop.Spawn(handle_signals());
   spdlog::info("{} listens on {}", config.name, config.listen_text);
   loop.Run();
   return 0;
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -208,7 +208,8 @@
       }
       break;
     case codec::kReadyAskFrame:
-      Append(c, codec::kReadyFrame, frame.stream, ready_ ? codec::kServedCode : codec::kRefusedCode);
+      Append(c, codec::kReadyFrame, frame.stream,
+             ready_ && !ending_ ? codec::kServedCode : codec::kRefusedCode);
       break;
     default:
       Append(c, codec::kAnswerFrame, 0, codec::kFailedCode, {}, "unknown frame type");
@@ -268,6 +269,7 @@
 }
 
 void FrameServer::AnnounceEnd() {
+  ending_ = true;
   for (const auto& weak : connections_) {
     const ConnectionPtr connection = weak.lock();
     if (!connection || connection->closed || connection->end_announced) continue;
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -31,7 +31,8 @@
 
   void Start() { loop_.Spawn(AcceptAll()); }
   void set_ready(bool ready) { ready_ = ready; }
-  // Asks the clients of all present connections for no new request on them.
+  // Asks the clients of all present connections for no new request on them; is ready no more, whatever a
+  // change of the list says later.
   void AnnounceEnd();
   void StopAccepting();
   bool flushed() const;  // every answer has been handed to the kernel
@@ -66,6 +67,7 @@
   std::size_t unread_ = 0;  // bytes handed to the writers and not yet to the kernel
   std::size_t unparsed_ = 0;
   bool ready_ = false;
+  bool ending_ = false;
 };
 
 }  // namespace lemoncroft::frontend
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -76,12 +76,13 @@
                 config.listen_text.c_str(), config.site.classes.size());
     return 0;
   }
-  return RunProxy(config);
+  return RunProxy(config, options.config);
 }
 
 }  // namespace
 
 int main(int argc, char** argv) {
+  lemoncroft::cli::HoldSignals();
   try {
     const Options options = ReadOptions(argc, argv);
     spdlog::set_pattern("%Y-%m-%dT%H:%M:%S.%e %l %v");
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -22,27 +22,42 @@
 
 runtime::Task<> Feed::Run() {
   for (;;) {
-    co_await Follow();
-    co_await loop_.Sleep(kPause);
+    if (moved_->cancelled()) moved_ = std::make_unique<runtime::Cancellation>();
+    runtime::Cancellation& moved = *moved_;
+    if (host_port_.empty()) {
+      co_await loop_.SleepUntil(runtime::kNever, &moved);
+    } else {
+      co_await Follow(moved);
+      co_await loop_.Sleep(kPause, &moved);
+    }
   }
 }
 
-runtime::Task<> Feed::Follow() {
-  const auto address = runtime::Address::Parse(host_port_);
+// What is asked for at the old address is left at once: a feed that moves away need not close it.
+void Feed::MoveTo(std::string host_port) {
+  if (host_port == host_port_) return;
+  host_port_ = std::move(host_port);
+  moved_->Cancel();
+}
+
+runtime::Task<> Feed::Follow(runtime::Cancellation& moved) {
+  const std::string host_port = host_port_;
+  const auto address = runtime::Address::Parse(host_port);
+  if (!address) co_return;  // the configuration's reader lets none of these through
   std::unique_ptr<runtime::Socket> socket;
-  const Io up = co_await Connect(loop_, *address, runtime::Now() + kConnect, nullptr, socket);
+  const Io up = co_await Connect(loop_, *address, runtime::Now() + kConnect, &moved, socket);
   if (up != Io::kOk) {
-    spdlog::debug("control feed: no connection to {}", host_port_);
+    spdlog::debug("control feed: no connection to {}", host_port);
     co_return;
   }
-  http::Connection connection(std::move(socket), host_port_, kLimits);
+  http::Connection connection(std::move(socket), host_port, kLimits);
   for (;;) {
     codec::HttpRequest request;
     request.method = "GET";
     request.path =
         "/v1/events?SUB=" + std::to_string(directory_.last()) + "&wait=" + std::to_string(kWait.count());
     codec::HttpResponse response;
-    const Io io = co_await connection.Call(request, runtime::Now() + kWait + kGrace, nullptr, response);
+    const Io io = co_await connection.Call(request, runtime::Now() + kWait + kGrace, &moved, response);
     if (io != Io::kOk || response.status != 200) {
       spdlog::info("control feed: connection lost after event {}", directory_.last());
       co_return;
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -3,6 +3,7 @@
 #define LEMONCROFT_MEMBERSHIP_FEED_H_
 
 #include <functional>
+#include <memory>
 #include <string>
 
 #include "lemoncroft/gateway.h"
@@ -17,14 +18,17 @@
       : loop_(loop), directory_(directory), host_port_(std::move(host_port)), tell_(std::move(tell)) {}
 
   runtime::Task<> Run();
+  // From now on at another address, where the numbers go on; the old one may stay open and tell nothing.
+  void MoveTo(std::string host_port);
 
  private:
-  runtime::Task<> Follow();  // on one connection, until it fails
+  runtime::Task<> Follow(runtime::Cancellation& moved);  // on one connection, until it fails
 
   runtime::Loop& loop_;
   Directory& directory_;
-  std::string host_port_;
+  std::string host_port_;  // empty: none is followed
   std::function<void(EngineList)> tell_;
+  std::unique_ptr<runtime::Cancellation> moved_ = std::make_unique<runtime::Cancellation>();
 };
 
 }  // namespace lemoncroft::membership
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -416,20 +416,25 @@
   std::string ConfigText() {
     std::string known;
     for (const auto& [name, server] : servers_) {
-      if (name == "feed") continue;
+      if (name.starts_with("feed")) continue;
       known += std::string(known.empty() ? "" : ",") + R"({"id":")" + name + R"(","host_port":"{)" + name +
                R"(}","locality":"dc","flavor":"std","cell":0,"phase":"Ready","size":1,"up_since_ms":0})";
     }
     Fill(known);
     std::string text = kConfig;
-    Replace(
-        text, "KNOWN",
-        R"({"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[)" + known + "]}}]}");
+    known =
+        R"({"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[)" + known + "]}}]}";
+    for (const auto& [key, value] : config_) {
+      if (key == "known") known = value;
+    }
+    Replace(text, "KNOWN", known);
     std::string feed = servers_.contains("feed") ? "{feed}" : "";
     Fill(feed);
     Replace(text, "FEED", feed);
     Replace(text, "LISTEN", "127.0.0.1:" + std::to_string(listen_));
-    for (const auto& [key, value] : config_) {
+    for (auto [key, value] : config_) {
+      if (key == "known") continue;
+      Fill(value);
       const std::size_t at = text.find("\"" + key + "\":");
       if (at == std::string::npos) Wrong("no such key: " + key);
       const std::size_t from = at + key.size() + 3;
@@ -438,12 +443,14 @@
     return text;
   }
 
+  void WriteConfig() { std::ofstream(folder_ + "/config.json") << ConfigText(); }
+
   void Launch(Words args) {
     if (folder_.empty()) {
       char name[] = "/tmp/scenario-XXXXXX";
       folder_ = ::mkdtemp(name);
       listen_ = Listen().port;  // free a moment ago
-      std::ofstream(folder_ + "/config.json") << ConfigText();
+      WriteConfig();
     }
     args.insert(args.begin(), LEMONCROFT_PROGRAM);
     pid_ = ::fork();
@@ -478,7 +485,8 @@
       return AwaitReady();
     }
     if (w[1] == "run") return Launch(Words(w.begin() + 2, w.end()));
-    if (w[1] == "send") return void(::kill(pid_, SIGTERM));
+    if (w[1] == "send" && w.at(2) == "HUP") WriteConfig();
+    if (w[1] == "send") return void(::kill(pid_, w.at(2) == "HUP" ? SIGHUP : SIGTERM));
     if (w[1] != "expect") Wrong("unknown verb " + w[1]);
     int status = 0;
     const auto until = Clock::now() + kPatience;
