Ask again for spoilt answers; bound bad clients; blame engines only for errors of theirs

Checked by reading and by scenarios against the old build: Engines passed on any 200 whose bytes fitted the head (FetchPages checked the page's number only), so noise of the right length and pages cut short went to clients; it also put the next question on a connection that still held a second copy (Follow alone looked at Reusable). Ruled out: a second answer, a wrong order of pages, memory (4 of 48 MB) and descriptors (206 of 384).

engines.cpp: every page is checked for whole rows of three columns, its number and surplus bytes; what is spoilt, lost or silent for 450 ms is asked for again on a fresh connection, three times, since the query has run; 'no longer known' behind that is kLost, not an error. pool.cpp: a connection rests 5 ms before its next use. connection.cpp: an answer that has begun is whole in 150 ms. frame_server.cpp: a client has 2 s for its first or half frame, floods get one turn each, errors are answered ever more slowly, silent connections make room first, figures out of proportion, ids and keys are checked; a cut-off client was still read while it sent (Read never waits then). broker.cpp: one id, one request. directory.cpp, pool.cpp: nothing stays of engines that have gone. gateway.cpp: an error counts against its engine once another engine serves the query; three errors end it; lost answers weigh little, silence much; work that can't be done in time is no demand.

The new scenarios and module tests fail on the old build, each seen.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -136,7 +136,8 @@
   bool repeat = false;  // marked by the client
 };
 
-enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot };
+// kLost: it may have run, but its answer was lost or spoilt on the way from an engine that is there.
+enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kLost };
 
 struct LoadReport {
   std::uint8_t count = 0;  // 0 = no report; else the values of Settings::report_fields
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lemoncroft::backend {
 
@@ -14,10 +15,14 @@
 
 namespace {
 
-constexpr auto kSilence = 1000ms;  // an engine answers within 250 ms: past this it is cut off
-constexpr auto kLinger = 400ms;    // for the answer to a question that no longer matters
+constexpr auto kSilence = 450ms;  // an engine answers a question within 250 ms
+constexpr int kAsks = 3;          // of one question: a query that is not asked for ends after 2 s
+constexpr auto kLinger = 400ms;   // for the answer to a question that no longer matters
 constexpr int kPagesMost = 256;
+constexpr std::size_t kPageMost = 6000;
 constexpr std::size_t kRowsMost = 64 * 1024;  // a result has 48,000 bytes at most
+constexpr double kMemoryMost = 1e6;           // MB: past this it is no measurement
+constexpr std::size_t kColumns = 3;
 
 std::string PathOf(const std::string& id) { return "/v2/q/" + id; }
 
@@ -31,6 +36,29 @@
   }
 }
 
+// Whole rows of text, as a page must hold them: noise of the right length, or a page that was cut, is none.
+bool HasRows(std::string_view page) {
+  if (page.size() > kPageMost || (!page.empty() && page.back() != '\n')) return false;
+  std::size_t columns = 1;
+  for (const char c : page) {
+    if (c == '\t') ++columns;
+    if (c == '\n' && std::exchange(columns, 1) != kColumns) return false;
+    if (static_cast<unsigned char>(c) < 0x20 && c != '\t' && c != '\n') return false;
+  }
+  return true;
+}
+
+// Whether a response can be the answer to the question for this page; page 0 is the query's news.
+bool Fits(const http::Connection& connection, const codec::HttpResponse& response, int page) {
+  if (response.status == 500) return true;
+  if (response.status == 200 && connection.Overrun()) return false;
+  const auto number = response.Number("Chunk"), pages = response.Number("Chunks");
+  if (page > 0) return response.status == 200 && number == page && HasRows(response.body);
+  if (response.status == 202 || response.status == 503 || response.status == 504) return true;
+  const bool counted = pages && *pages >= 1 && *pages <= kPagesMost && *pages == std::floor(*pages);
+  return response.status == 200 && counted && !number && HasRows(response.body);
+}
+
 }  // namespace
 
 // One attempt under way.
@@ -40,6 +68,7 @@
   Lease lease;
   codec::HttpResponse response;
   Result result;
+  bool lost = false;  // an answer about it has been lost: what the engine knows of it is in doubt
 
   runtime::Time Limit() const { return std::min(attempt.deadline, Now() + kSilence); }
 };
@@ -53,9 +82,9 @@
   const std::string& id = attempt.passed->id;
   // An attempt that may still run is given up, and has ended once the engine knows: the next attempt may go
   // to the same engine under the same id, and must not be the one that is deleted. At the deadline there is
-  // none.
+  // none; after a reset there is no engine to tell.
   const bool may_run =
-      outcome == Outcome::kCancelled || outcome == Outcome::kTimeout || outcome == Outcome::kReset;
+      outcome == Outcome::kCancelled || outcome == Outcome::kTimeout || outcome == Outcome::kLost;
   if (may_run && Now() >= attempt.deadline) {
     loop_.Spawn(Order(attempt.engine, "DELETE", id, {}));
   } else if (may_run) {
@@ -90,19 +119,13 @@
     post.headers.emplace_back("Pool-Rank", std::to_string(attempt.priority));
     post.body = passed.statement;
     const Io io = co_await query.lease->Call(post, query.Limit(), &query.cancel, query.response);
-    if (io == Io::kOk) co_return Outcome::kOk;
-    if (query.lease->sent_any()) {
-      if (io == Io::kTimeout) co_return Outcome::kTimeout;
+    if (io == Io::kOk && Fits(*query.lease, query.response, 0)) co_return Outcome::kOk;
+    if (io == Io::kOk || query.lease->sent_any()) {
       if (io == Io::kCancelled) co_return Outcome::kCancelled;
-      // It may run although its connection is lost: the engine can be asked.
-      codec::HttpRequest ask;
-      ask.method = "GET";
-      ask.path = PathOf(passed.id) + "/0";
+      // It may run although its answer is spoilt, late or lost with its connection: the engine can be asked.
+      query.lost = true;
       query.lease = Lease();
-      const Io again = co_await Ask(query, ask);
-      if (again == Io::kTimeout) co_return Outcome::kTimeout;
-      if (again == Io::kCancelled) co_return Outcome::kCancelled;
-      co_return again == Io::kOk ? Outcome::kOk : Outcome::kReset;
+      co_return co_await Ask(query, 0);
     }
     // Not a byte has gone: an idle connection that broke just now. Another one will do.
     if (io == Io::kCancelled) co_return Outcome::kMoot;
@@ -110,28 +133,38 @@
   }
 }
 
-// A question about the query, on its connection; once more on a new one where that has broken, since a query
-// belongs to no connection.
-Task<Io> Engines::Ask(Query& query, const codec::HttpRequest& request) {
-  for (int tries = 0; tries < 2; ++tries) {
+// A question about the query: its news (page 0) or a page. A query belongs to no connection, and its answers
+// can be had again: what is lost, spoilt or late is asked for anew, on a connection that nothing has been on.
+Task<Outcome> Engines::Ask(Query& query, int page) {
+  codec::HttpRequest ask;
+  ask.method = "GET";
+  ask.path = PathOf(query.attempt.passed->id) + "/" + std::to_string(page);
+  bool silent = true;
+  for (int tries = 0; tries < kAsks; ++tries) {
+    // One that the engine closes, or that holds more than was asked for, is left.
+    if (query.lease && !query.lease->Reusable()) query.lease = Lease();
     if (!query.lease) {
       const runtime::Time limit = std::min(query.attempt.deadline, Now() + connect_timeout_);
-      const Io up = co_await pool_.Acquire(query.attempt.engine, limit, &query.cancel, query.lease);
-      if (up == Io::kCancelled) co_return up;
-      if (up != Io::kOk) co_return Io::kClosed;
+      const auto want = query.lost ? Pool::Want::kFresh : Pool::Want::kAny;
+      const Io up = co_await pool_.Acquire(query.attempt.engine, limit, &query.cancel, query.lease, want);
+      if (up == Io::kCancelled) co_return Outcome::kCancelled;
+      if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
+      if (up == Io::kNoDescriptors) co_return Outcome::kLost;
+      if (up != Io::kOk) co_return Outcome::kReset;
     }
-    const Io io = co_await query.lease->Call(request, query.Limit(), &query.cancel, query.response);
-    if (io != Io::kClosed) co_return io;
+    const Io io = co_await query.lease->Call(ask, query.Limit(), &query.cancel, query.response);
+    if (io == Io::kOk && Fits(*query.lease, query.response, page)) co_return Outcome::kOk;
+    if (io == Io::kCancelled) co_return Outcome::kCancelled;
+    if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
+    silent = silent && io == Io::kTimeout;
+    query.lost = true;
     query.lease = Lease();
   }
-  co_return Io::kClosed;
+  co_return silent ? Outcome::kTimeout : Outcome::kLost;
 }
 
 // Asks for the query's end until it comes.
 Task<Outcome> Engines::Follow(Query& query) {
-  codec::HttpRequest ask;
-  ask.method = "GET";
-  ask.path = PathOf(query.attempt.passed->id) + "/0";
   for (;;) {
     const std::string* unrun_text = query.response.Find("X-Unrun");
     const bool unrun = unrun_text != nullptr && *unrun_text == "1";
@@ -144,16 +177,12 @@
         co_return unrun ? Outcome::kFull : Outcome::kError;
       case 504:
         co_return unrun ? Outcome::kMoot : Outcome::kError;
-      default:
-        co_return Outcome::kError;
+      default:  // where an answer was lost, it may only say that the engine no longer knows the query
+        co_return query.lost ? Outcome::kLost : Outcome::kError;
     }
     if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
-    // A connection that the engine wants to close is left; the query does not depend on it.
-    if (query.lease && !query.lease->Reusable()) query.lease = Lease();
-    const Io io = co_await Ask(query, ask);
-    if (io == Io::kCancelled) co_return Outcome::kCancelled;
-    if (io == Io::kTimeout) co_return Outcome::kTimeout;
-    if (io != Io::kOk) co_return Outcome::kReset;
+    const Outcome asked = co_await Ask(query, 0);
+    if (asked != Outcome::kOk) co_return asked;
   }
 }
 
@@ -161,22 +190,15 @@
 // that failed, and no client has seen half a result.
 Task<Outcome> Engines::FetchPages(Query& query) {
   Result& result = query.result;
-  const double pages = query.response.Number("Chunks").value_or(0);
-  if (pages < 1 || pages > kPagesMost || pages != std::floor(pages)) co_return Outcome::kError;
+  const auto pages = static_cast<int>(*query.response.Number("Chunks"));
   const double work_ms = std::clamp(query.response.Number("Elapsed-Work").value_or(0), 0.0, 1e9);
   result.work = std::chrono::duration_cast<runtime::Span>(std::chrono::duration<double, std::milli>(work_ms));
-  result.memory_mb = std::max(0.0, query.response.Number("High-Water").value_or(0));
+  result.memory_mb = std::clamp(query.response.Number("High-Water").value_or(0), 0.0, kMemoryMost);
   result.rows = std::move(query.response.body);
-  for (int page = 1; page < static_cast<int>(pages); ++page) {
-    codec::HttpRequest fetch;
-    fetch.method = "GET";
-    fetch.path = PathOf(query.attempt.passed->id) + "/" + std::to_string(page);
-    const Io io = co_await Ask(query, fetch);
-    if (io == Io::kCancelled) co_return Outcome::kCancelled;
-    if (io == Io::kTimeout) co_return Outcome::kTimeout;
-    if (io != Io::kOk) co_return Outcome::kReset;
-    const auto number = query.response.Number("Chunk");
-    if (query.response.status != 200 || !number || *number != page) co_return Outcome::kError;
+  for (int page = 1; page < pages; ++page) {
+    const Outcome asked = co_await Ask(query, page);
+    if (asked != Outcome::kOk) co_return asked;
+    if (query.response.status != 200) co_return query.lost ? Outcome::kLost : Outcome::kError;
     result.rows += query.response.body;
     if (result.rows.size() > kRowsMost) co_return Outcome::kError;
   }
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -45,7 +45,7 @@
  private:
   struct Query;
 
-  runtime::Task<runtime::Io> Ask(Query& query, const codec::HttpRequest& request);
+  runtime::Task<Outcome> Ask(Query& query, int page);
   runtime::Task<Outcome> Start(Query& query);
   runtime::Task<Outcome> Follow(Query& query);
   runtime::Task<Outcome> FetchPages(Query& query);
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -5,6 +5,10 @@
 using runtime::Io;
 using namespace std::chrono_literals;
 
+namespace {
+constexpr auto kRest = 5ms;
+}
+
 Lease& Lease::operator=(Lease&& other) noexcept {
   if (this != &other) {
     Return();
@@ -42,19 +46,31 @@
   }
 }
 
+// What a peer sends beyond its answer may come a moment after it, and must not pass for the next one.
+std::unique_ptr<http::Connection> Pool::TakeIdle(EngineId engine) {
+  const auto it = idle_.find(engine);
+  if (it == idle_.end()) return nullptr;
+  auto& idle = it->second;
+  const runtime::Time rested = runtime::Now() - kRest;
+  for (std::size_t i = idle.size(); i-- > 0;) {
+    if (idle[i].since > rested) continue;
+    std::unique_ptr<http::Connection> connection = std::move(idle[i].connection);
+    idle.erase(idle.begin() + static_cast<std::ptrdiff_t>(i));
+    if (connection->Reusable()) return connection;
+    --open_;
+  }
+  return nullptr;
+}
+
 runtime::Task<Io> Pool::Acquire(EngineId engine, runtime::Time deadline, runtime::Cancellation* cancel,
-                                Lease& out) {
+                                Lease& out, Want want) {
   const membership::Member* member = directory_.Find(engine);
   if (member == nullptr) co_return Io::kClosed;
-  auto& idle = idle_[engine];
-  while (!idle.empty()) {
-    std::unique_ptr<http::Connection> connection = std::move(idle.back().connection);
-    idle.pop_back();
-    if (connection->Reusable()) {
+  if (want == Want::kAny) {
+    if (auto connection = TakeIdle(engine)) {
       Fill(out, *member, std::move(connection), true);
       co_return Io::kOk;
     }
-    --open_;
   }
   if (open_ >= limits_.connections && !EvictOne()) co_return Io::kNoDescriptors;
   const std::uint64_t life = member->life;
@@ -68,7 +84,8 @@
     --open_;
     co_return io;
   }
-  Fill(out, *member, std::make_unique<http::Connection>(std::move(socket), member->host_port), false);
+  Fill(out, *member, std::make_unique<http::Connection>(std::move(socket), member->host_port, limits_.answer),
+       false);
   co_return Io::kOk;
 }
 
@@ -76,7 +93,7 @@
   const auto it = idle_.find(engine);
   if (it == idle_.end()) return;
   open_ -= it->second.size();
-  it->second.clear();
+  idle_.erase(it);
 }
 
 // Makes room: the engine with the most idle connections loses the one that has been idle longest.
--- a/src/backend/pool.h
+++ b/src/backend/pool.h
@@ -24,6 +24,7 @@
   Lease& operator=(Lease&& other) noexcept;
   ~Lease() { Return(); }
 
+  http::Connection& operator*() const { return *connection_; }
   http::Connection* operator->() const { return connection_.get(); }
   explicit operator bool() const { return connection_ != nullptr; }
   bool reused() const { return reused_; }
@@ -43,14 +44,17 @@
   struct Limits {
     std::size_t connections = 512;  // to all engines together, idle ones too
     runtime::Span idle{};           // an idle connection is closed after this: before the engine does
+    codec::HttpParser::Limits answer{16 * 1024, 16 * 1024};  // a page has 6,000 bytes at most
   };
 
   Pool(runtime::Loop& loop, const membership::Directory& directory, Limits limits)
       : loop_(loop), directory_(directory), limits_(limits) {}
 
-  // An idle connection or a new one. kNoDescriptors where this process has none to spare.
+  enum class Want { kAny, kFresh };
+  // An idle connection, unless a fresh one is wanted, or a new one. kNoDescriptors where this process has
+  // none to spare.
   runtime::Task<runtime::Io> Acquire(EngineId engine, runtime::Time deadline, runtime::Cancellation* cancel,
-                                     Lease& out);
+                                     Lease& out, Want want = Want::kAny);
   void Drop(EngineId engine);  // its idle connections
   runtime::Task<> CloseIdle();
 
@@ -65,11 +69,12 @@
             bool reused);
   void Return(Lease& lease);
   bool EvictOne();
+  std::unique_ptr<http::Connection> TakeIdle(EngineId engine);  // null: none is fit
 
   runtime::Loop& loop_;
   const membership::Directory& directory_;
   Limits limits_;
-  std::map<EngineId, std::deque<Idle>> idle_;  // the latest used last
+  std::map<EngineId, std::deque<Idle>> idle_;  // the latest used last; nothing of engines that have gone
   std::size_t open_ = 0;
 };
 
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -43,12 +43,20 @@
     sink->Finish({Verdict::kRefused, ToSpan(site_.module.max_come_back), {}});
     return 0;
   }
+  // An engine knows a query by the client's id alone: under one id two would be taken for each other there. A
+  // second one is no request; one behind an end that the engine is still being told may come again.
+  if (const auto it = ids_.find(request.passed.id); it != ids_.end()) {
+    const bool open = lives_.at(it->second)->sink != nullptr;
+    sink->Finish({open ? Verdict::kFailed : Verdict::kRefused, {}, {}});
+    return 0;
+  }
   auto life = std::make_shared<Life>();
   life->id = next_id_++;
   life->taken = Now();
   life->request = std::move(request);
   life->sink = std::move(sink);
   lives_.emplace(life->id, life);
+  ids_.emplace(life->request.passed.id, life->id);
   ++open_;
   bytes_ += bytes;
   const RequestId id = life->id;
@@ -118,6 +126,7 @@
     const News news = co_await Next(*life, runtime::kNever);
     if (const auto* ended = std::get_if<Ended>(&news)) TellEnded(*life, *ended, true);
   }
+  ids_.erase(life->request.passed.id);
   lives_.erase(life->id);
 }
 
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <deque>
 #include <memory>
+#include <string>
 #include <unordered_map>
 #include <variant>
 #include <vector>
@@ -87,6 +88,7 @@
   Limits limits_;
   ModuleHost host_;
   std::unordered_map<RequestId, LifePtr> lives_;
+  std::unordered_map<std::string, RequestId> ids_;  // the clients' own, of these
   RequestId next_id_ = 1;
   std::size_t open_ = 0;
   std::size_t bytes_ = 0;
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -158,6 +158,8 @@
   }
   response_.headers.emplace_back(Trim(line.substr(0, colon)), Trim(line.substr(colon + 1)));
   const auto& [name, value] = response_.headers.back();
+  // Two lengths: where the answer ends can't be told.
+  if (SameName(name, "Content-Length") && *response_.Find(name) != value) part_ = Part::kBad;
   if (SameName(name, "Connection") && SameName(value, "close")) response_.keep_alive = false;
 }
 
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -43,6 +43,7 @@
   // The peer has closed: whole if the body was to last until then.
   State Finish();
   HttpResponse& response() { return response_; }
+  bool begun() const { return part_ != Part::kHead; }  // past the head of an answer that is no interim one
 
  private:
   enum class Part { kHead, kSized, kChunkSize, kChunk, kChunkEnd, kTrailer, kUntilClose, kDone, kBad };
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -25,19 +25,37 @@
 constexpr std::size_t kStreamsMost = 32;  // requests open on a connection
 constexpr auto kStalled = 5s;             // a client that takes nothing for so long is cut off
 constexpr auto kNoDescriptorsPause = 20ms;
+constexpr int kAcceptsATurn = 16;
+// A client that says nothing, or leaves a frame half, is let go: by then it is owed an answer or a close.
+constexpr auto kFrameWithin = 2000ms;
+constexpr auto kNewFor = 100ms;    // too new to be called silent where descriptors are short
+constexpr auto kIdleFor = 1000ms;  // a connection with nothing open for so long may make room
+// One that goes on sending what can't be used is read this much more slowly, so that others are not.
+constexpr int kErrorsFree = 8;
+constexpr auto kErrorPause = 25ms;
+
+constexpr double kWorkMost = 100;   // estimates past this many times the class's deadline are no figures
+constexpr double kMemoryMost = 16;  // likewise, times the largest engine's memory
+constexpr double kLimitMost = 10;   // likewise, a client's patience, times the class's deadline
 
 std::optional<double> ReadNumber(std::string_view text) {
   double value = 0;
   auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), value);
   if (error != std::errc() || end != text.data() + text.size()) return std::nullopt;
-  if (!std::isfinite(value) || value < 0 || value > 1e9) return std::nullopt;
+  if (!std::isfinite(value) || value < 0) return std::nullopt;
   return value;
 }
 
-// Ids become part of a path on the engines' side.
+// Ids become part of a path on the engines' side: 16 hex digits.
 bool IsId(std::string_view text) {
+  const auto fits = [](unsigned char c) { return std::isxdigit(c) != 0; };
+  return text.size() == 16 && std::all_of(text.begin(), text.end(), fits);
+}
+
+// Keys become a header's value there.
+bool IsKey(std::string_view text) {
   const auto fits = [](unsigned char c) { return std::isalnum(c) != 0 || c == '-' || c == '_'; };
-  return !text.empty() && text.size() <= 64 && std::all_of(text.begin(), text.end(), fits);
+  return !text.empty() && text.size() <= 128 && std::all_of(text.begin(), text.end(), fits);
 }
 
 Span FromMs(double ms) {
@@ -51,7 +69,12 @@
   std::string in;
   std::size_t counted = 0;  // of `in`, in the server's total
   FrameReader reader;
-  std::string out;  // not yet handed to the writer
+  runtime::Time opened = Now(), active = Now();
+  runtime::Time half_since = runtime::kNever;  // a frame has begun and not come whole
+  bool asked = false;                          // properly, at least once
+  bool eof = false;                            // the client has ended it, or a broken connection did
+  int errors = 0;                              // frames that could not be used
+  std::string out;                             // not yet handed to the writer
   bool writing = false;
   bool closed = false;
   bool end_announced = false;
@@ -70,6 +93,7 @@
     const ConnectionPtr connection = connection_.lock();
     if (!connection || connection->closed) return;
     connection->streams.erase(stream_);
+    connection->active = Now();
     std::string later;
     codec::FieldViews fields;
     if (answer.come_back > Span::zero()) {
@@ -100,45 +124,81 @@
 FrameServer::~FrameServer() = default;
 
 Task<> FrameServer::AcceptAll() {
-  for (;;) {
+  for (int accepted = 1;; ++accepted) {
     std::unique_ptr<runtime::Socket> socket;
     const Io io = co_await listener_->Accept(socket, &stop_accepting_);
     if (io == Io::kCancelled) break;
     if (io == Io::kNoDescriptors) {  // some will be closed again; the backlog holds the newcomers until then
+      MakeRoom();
       co_await loop_.Sleep(kNoDescriptorsPause, &stop_accepting_);
       continue;
     }
-    if (open_ >= limits_.connections) continue;  // closed at once: the engines' share of descriptors is kept
+    // Those who came first are heard first: a flood of newcomers must not hold up, or push out, who asks.
+    if (accepted % kAcceptsATurn == 0) co_await loop_.NextTurn();
+    std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+    // Past that the engines' share of descriptors would shrink.
+    if (connections_.size() >= limits_.connections && !MakeRoom()) continue;
     auto connection = std::make_shared<Connection>();
     connection->socket = std::move(socket);
-    std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
     connections_.push_back(connection);
     loop_.Spawn(Serve(std::move(connection)));
   }
   listener_.reset();
 }
 
+// The oldest of those that never asked properly goes first, then the one that has been idle longest: where
+// nothing is open a proxy may close.
+bool FrameServer::MakeRoom() {
+  const runtime::Time now = Now();
+  ConnectionPtr silent, idle;
+  for (const auto& weak : connections_) {
+    const ConnectionPtr c = weak.lock();
+    if (!c || c->closed || c->stop_reading.cancelled() || !c->streams.empty()) continue;
+    if (!c->asked && now - c->opened > kNewFor && !silent) silent = c;
+    if (c->asked && now - c->active > kIdleFor && (!idle || c->active < idle->active)) idle = c;
+  }
+  const ConnectionPtr& least = silent ? silent : idle;
+  if (least) least->stop_reading.Cancel();
+  return least != nullptr;
+}
+
 Task<> FrameServer::Serve(ConnectionPtr connection) {
   Connection& c = *connection;
-  ++open_;
   loop_.Spawn(WriteOut(connection));
-  while (co_await c.socket->Read(c.in, kReadAtOnce, runtime::kNever, &c.stop_reading) == Io::kOk) {
-    const bool readable = TakeFrames(connection);
-    // Half frames of all clients together are bounded: the one that passes that is cut off, not the process.
-    if (!Count(c)) break;
-    if (readable) continue;
-    // Frames can't be told apart any more. What was taken before is still answered, then the connection ends.
-    while (!c.streams.empty() && !c.stop_reading.cancelled()) {
-      co_await runtime::Waiter(loop_, &c.drained, runtime::kNever, &c.stop_reading);
-    }
-    break;
+  co_await ReadIn(connection);
+  // Nothing more can be read. What was taken before is still answered, unless nobody is there to hear it.
+  while (!c.eof && !c.streams.empty() && !c.stop_reading.cancelled()) {
+    co_await runtime::Waiter(loop_, &c.drained, runtime::kNever, &c.stop_reading);
   }
   Abandon(c);
   c.in = std::string();
   Count(c);
   c.closed = true;
   c.written.Open();
-  --open_;
+}
+
+Task<> FrameServer::ReadIn(ConnectionPtr connection) {
+  Connection& c = *connection;
+  while (!c.stop_reading.cancelled()) {  // where there is always something to read, nothing else would tell
+    const runtime::Time silent = c.asked ? runtime::kNever : c.opened + kFrameWithin;
+    const runtime::Time half = c.half_since == runtime::kNever ? c.half_since : c.half_since + kFrameWithin;
+    const Io io = co_await c.socket->Read(c.in, kReadAtOnce, std::min(silent, half), &c.stop_reading);
+    if (io == Io::kTimeout) co_return Reject(c, 0, "no whole request in time");
+    c.eof = io != Io::kOk;
+    if (c.eof) co_return;
+    const int errors = c.errors;
+    const std::size_t before = c.in.size();
+    if (!TakeFrames(connection)) co_return;
+    const bool begun = c.half_since == runtime::kNever || c.in.size() < before;
+    c.half_since = c.in.empty() ? runtime::kNever : begun ? Now() : c.half_since;
+    // Half frames of all clients together are bounded: the one that passes that is cut off, not the process.
+    if (!Count(c)) co_return Reject(c, 0, "too much that is not whole");
+    if (c.errors > std::max(errors, kErrorsFree)) {
+      co_await loop_.Sleep(kErrorPause, &c.stop_reading);
+    } else {
+      co_await loop_.NextTurn();  // a client that sends without a pause gets a turn like all others
+    }
+  }
 }
 
 bool FrameServer::Count(Connection& c) {
@@ -170,6 +230,11 @@
   }
 }
 
+void FrameServer::Reject(Connection& c, std::uint32_t stream, std::string_view why) {
+  ++c.errors;
+  Append(c, codec::kAnswerFrame, stream, codec::kFailedCode, {}, why);
+}
+
 void FrameServer::Append(Connection& c, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
                          const codec::FieldViews& fields, std::string_view body) {
   codec::WriteAnswer(c.out, type, stream, code, fields, body);
@@ -191,7 +256,7 @@
   while ((result = c.reader.Next(c.in, frame)) == FrameReader::Result::kFrame) TakeFrame(connection, frame);
   c.reader.Compact(c.in);
   if (result != FrameReader::Result::kBadLength) return true;
-  Append(c, codec::kAnswerFrame, 0, codec::kFailedCode, {}, "frame length out of range");
+  Reject(c, 0, "frame length out of range");
   return false;
 }
 
@@ -208,11 +273,12 @@
       }
       break;
     case codec::kReadyAskFrame:
+      c.asked = true;
       Append(c, codec::kReadyFrame, frame.stream,
              ready_ && !ending_ ? codec::kServedCode : codec::kRefusedCode);
       break;
     default:
-      Append(c, codec::kAnswerFrame, 0, codec::kFailedCode, {}, "unknown frame type");
+      Reject(c, 0, "unknown frame type");
   }
 }
 
@@ -220,15 +286,16 @@
   Connection& c = *connection;
   // On a stream that is in use an answer would be taken for the other request's.
   if (frame.stream == 0 || c.streams.contains(frame.stream)) {
-    return Append(c, codec::kAnswerFrame, 0, codec::kFailedCode, {}, "stream number in use or 0");
+    return Reject(c, 0, "stream number in use or 0");
   }
   broker::ClientRequest request;
   const auto fields = codec::ReadFields(frame.payload);
   const std::string wrong = fields ? Describe(*fields, request) : "malformed fields";
-  if (!wrong.empty()) {
-    return Append(c, codec::kAnswerFrame, frame.stream, codec::kFailedCode, {}, wrong);
-  }
+  if (!wrong.empty()) return Reject(c, frame.stream, wrong);
+  c.asked = true;
+  c.active = Now();
   if (c.streams.size() >= kStreamsMost) {
+    ++c.errors;
     return Append(c, codec::kAnswerFrame, frame.stream, codec::kRefusedCode, {}, "too many open requests");
   }
   c.streams.emplace(frame.stream, 0);
@@ -247,23 +314,33 @@
   if (klass >= site_.classes.size()) return "unknown class";
   const std::string_view team = fields.Get("team");
   const std::size_t tenant = index(site_.tenants, team);
-  if (!team.empty() && tenant >= site_.tenants.size()) return "unknown tenant";
+  if (tenant >= site_.tenants.size()) return "unknown tenant";
   if (!IsId(fields.Get("txn"))) return "unusable txn";
-  const auto limit = fields.Get("limit").empty()
-                         ? std::optional(static_cast<double>(site_.module.classes[klass].deadline) / 1e6)
-                         : ReadNumber(fields.Get("limit"));
-  const auto cpu = fields.Get("cpu").empty() ? std::optional(0.0) : ReadNumber(fields.Get("cpu"));
-  const auto heap = fields.Get("heap_mb").empty() ? std::optional(0.0) : ReadNumber(fields.Get("heap_mb"));
-  if (!limit || !cpu || !heap) return "unreadable number";
+  const ClassSettings& rules = site_.module.classes[klass];
+  const std::string_view key = fields.Get("unique");
+  if ((!key.empty() || rules.effect == Effect::kKeyed) && !IsKey(key)) return "unusable unique";
+  if (fields.body.empty()) return "no statement";
+  // Absent figures have a default; a figure out of all proportion would pass for a load that no engine has.
+  const auto figure = [&fields](std::string_view name, double absent, double most) {
+    const auto value = fields.Get(name).empty() ? std::optional(absent) : ReadNumber(fields.Get(name));
+    return most > 0 && value > most ? std::nullopt : value;
+  };
+  const double deadline_ms = static_cast<double>(rules.deadline) / 1e6;
+  double memory = 0;
+  for (const KindSettings& kind : site_.module.kinds) memory = std::max(memory, kind.memory_mb);
+  const auto limit = figure("limit", deadline_ms, kLimitMost * deadline_ms);
+  const auto cpu = figure("cpu", 0, kWorkMost * deadline_ms);
+  const auto heap = figure("heap_mb", 0, kMemoryMost * memory);
+  if (!limit || !cpu || !heap) return "figure unreadable or out of range";
   out.klass = static_cast<std::uint16_t>(klass);
-  out.tenant = team.empty() ? 0 : static_cast<std::uint16_t>(tenant);
+  out.tenant = static_cast<std::uint16_t>(tenant);
   out.deadline = Now() + FromMs(*limit);
   out.est_work = FromMs(*cpu);
   out.est_memory_mb = *heap;
   out.tables = codec::TableGroup(fields.body);
   out.passed.id = fields.Get("txn");
   out.passed.lane = verb;
-  out.passed.dedupe = fields.Get("unique");
+  out.passed.dedupe = key;
   out.passed.statement = fields.body;
   return {};
 }
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -44,13 +44,17 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   runtime::Task<> AcceptAll();
+  bool MakeRoom();  // for one more connection, by closing one that is worth less; false: there is none
   runtime::Task<> Serve(ConnectionPtr connection);
+  runtime::Task<> ReadIn(ConnectionPtr connection);  // until nothing more is to be read
   runtime::Task<> WriteOut(ConnectionPtr connection);
   bool TakeFrames(const ConnectionPtr& connection);  // false: what follows can't be read
   void TakeFrame(const ConnectionPtr& connection, const codec::Frame& frame);
   void TakeRequest(const ConnectionPtr& connection, const codec::Frame& frame);
   // What is wrong with the request, or empty.
   std::string Describe(const codec::Fields& fields, broker::ClientRequest& out) const;
+  // An error to a request, or on stream 0 to none.
+  void Reject(Connection& connection, std::uint32_t stream, std::string_view why);
   void Append(Connection& connection, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
               const codec::FieldViews& fields = {}, std::string_view body = {});
   void Abandon(Connection& connection);
@@ -62,9 +66,8 @@
   Limits limits_;
   std::unique_ptr<runtime::Listener> listener_;
   runtime::Cancellation stop_accepting_;
-  std::list<std::weak_ptr<Connection>> connections_;
-  std::size_t open_ = 0;
-  std::size_t unread_ = 0;  // bytes handed to the writers and not yet to the kernel
+  std::list<std::weak_ptr<Connection>> connections_;  // by age
+  std::size_t unread_ = 0;                            // bytes handed to the writers and not yet to the kernel
   std::size_t unparsed_ = 0;
   bool ready_ = false;
   bool ending_ = false;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -28,9 +28,8 @@
 constexpr double kPeriodJitter = 0.3;   // share: keeps gateways from stepping together on one dip
 constexpr int kPeriodCount = 100;       // completions that end a period as well (paper, 4.3)
 // The share of all gateways' level that is this one's, held in expectation: credit in thread seconds.
-constexpr double kDemandMemory = 8;  // seconds that own demand is averaged over
-constexpr double kUsualLoad =
-    0.85;  // of the fleet's cores: demand assumed of all gateways before any is seen
+constexpr double kDemandMemory = 8;    // seconds that own demand is averaged over
+constexpr double kUsualLoad = 0.85;    // of the fleet's cores: demand of all gateways before any is seen
 constexpr double kFleetPressed = 1.3;  // times the best latency, in the mean of recent answers
 constexpr double kIdleLevel = 1;       // threads a core, the query's own counted: an engine seen to be idle
 constexpr double kCreditMost = 2;      // times a mean heavy query's thread seconds, or seconds of the share
@@ -41,8 +40,7 @@
 constexpr double kLight = 0.25;           // of the heaviest class's mean work: counted apart
 constexpr Nanos kReportFresh = kSecond;   // a load report older than this tells nothing
 constexpr std::size_t kProbed = 2;        // engines to choose from that a heavy query waits to know
-constexpr Nanos kProbeBeat =
-    250 * kMs;  // one probe for each of these, with heavy queries held: more would herd
+constexpr Nanos kProbeBeat = 250 * kMs;   // one probe for each, with heavy queries held: more would herd
 // Learning: weight of the newest sample in a mean.
 constexpr double kFast = 0.1;          // an engine's latency: some ten answers
 constexpr double kOutlier = 3;         // times the mean: a sample counts as no more
@@ -53,7 +51,9 @@
 // Health.
 constexpr double kErrorEject = 0.25;         // share of recent attempts that failed
 constexpr double kErrorWeight = 0.15;        // weight of the newest outcome in it: two failures eject
-constexpr double kBrokenWeight = 0.4;        // likewise for a lost connection
+constexpr double kBrokenWeight = 0.4;        // likewise for a lost connection, or one gone silent
+constexpr double kLostWeight = 0.05;         // for an answer lost on the way, as happens at all engines alike
+constexpr std::size_t kErrorsMost = 3;       // engines that find an error in a query: then it is the query's
 constexpr Nanos kFullFor = 500 * kMs;        // an engine that said full rests: refusals are work for it
 constexpr Nanos kBackoff = 500 * kMs;        // first ejection; doubles with each failed trial ...
 constexpr Nanos kBackoffMost = 4 * kSecond;  // ... to this: troubles last 5 to 30 s
@@ -168,7 +168,8 @@
   double threads = 1;
   bool lane = false;
   double grant = 0;
-  double charged = 0;  // thread seconds of credit taken for the attempt
+  double charged = 0;           // thread seconds of credit taken for the attempt
+  std::vector<EngineId> erred;  // engines that said error to it
   int kills = 0;
   double projected = 0;     // duration at the pace last noted before a kill
   Nanos maybe_ran_at = -1;  // when the first attempt that may have run was sent
@@ -267,7 +268,8 @@
     q.aim_at = now_ + c.aim + ToNanos(c.aim_stretch * q.work / q.threads);
     q.deadline = now_ + request.patience;
     q.worth = c.worth * (OverShare(request) ? set_.over_share_worth : 1);
-    demand_ += q.work / kDemandMemory;
+    // What can't be done in time is no demand, however much a client says that it wants.
+    demand_ += std::min(q.work, q.threads * Seconds(request.patience)) / kDemandMemory;
     if (set_.attempt_budget) taken_.push_back(now_);
     if (Ordered(q)) keys_[request.key].order.push_back(request.id);
     Enter(q);
@@ -755,14 +757,15 @@
     q.out = false;
     if (auto e = engines_.find(q.engine); e != engines_.end()) Settle(q, e->second, end);
     const Outcome how = end.outcome;
-    const bool unknown = how == Outcome::kTimeout || how == Outcome::kReset || how == Outcome::kCancelled;
-    if (unknown && Ordered(q)) keys_[q.in.key].rest_until = now_ + set_.order_settle;
     const bool ran = how != Outcome::kFull && how != Outcome::kConnectFailed && how != Outcome::kMoot;
+    const bool unknown = ran && how != Outcome::kOk && how != Outcome::kError;
+    if (unknown && Ordered(q)) keys_[q.in.key].rest_until = now_ + set_.order_settle;
     if (ran && q.maybe_ran_at < 0) q.maybe_ran_at = q.sent_at, q.maybe_engine = q.engine;
     if (end.finished || q.where == Where::kDone) return Forget(q);
     // Another attempt, or the final answer at once.
     const bool in_time = now_ < q.deadline - kAnswerMargin - ToNanos(q.work / q.threads);
-    if (!in_time || q.sent >= set_.max_attempts || !RepeatSafe(q)) return Answer(q);
+    const bool hopeless = q.sent >= set_.max_attempts || q.erred.size() >= kErrorsMost;
+    if (!in_time || hopeless || !RepeatSafe(q)) return Answer(q);
     q.late = q.late || now_ > q.aim_at;
     Enter(q);
   }
@@ -780,10 +783,12 @@
     Blend(mean_memory_, q.grant, weight);
     TakeReport(e, end.load);
     const Outcome how = end.outcome;
-    if (how == Outcome::kOk) Served(q, e, end);
+    if (how == Outcome::kOk) Served(q, e, end), Blame(q);
     if (how == Outcome::kFull)
       e.period.full = true, e.ejected_until = std::max(e.ejected_until, now_ + kFullFor);
-    if (how == Outcome::kError) Failed(e, kErrorWeight);
+    if (how == Outcome::kError) q.erred.push_back(q.engine);
+    if (how == Outcome::kLost) Failed(e, kLostWeight);
+    if (how == Outcome::kTimeout && now_ < q.deadline - kAnswerMargin) Failed(e, kBrokenWeight);
     if (how == Outcome::kCancelled && q.kills > 0) Blend(e.latency, std::min(20.0, 3 * e.latency), kFast);
     if (how == Outcome::kConnectFailed || how == Outcome::kReset) Failed(e, kBrokenWeight);
   }
@@ -827,6 +832,14 @@
     Blend(s.memory_error, std::abs(off), weight);
   }
 
+  // An error is the engine's only where another could serve the query: else anyone who sends what no engine
+  // can use would have all of them ejected.
+  void Blame(const Query& q) {
+    for (const EngineId id : q.erred) {
+      if (auto e = engines_.find(id); e != engines_.end() && id != q.engine) Failed(e->second, kErrorWeight);
+    }
+  }
+
   // Failures, fast ones above all, must not pass for low load: an engine that fails a share of its attempts
   // is ejected for a backoff, and again by its next failure until good answers have brought the share down.
   void Failed(Engine& e, double weight) {
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -1,16 +1,22 @@
 #include "http/connection.h"
 
+#include <algorithm>
+
 namespace lemoncroft::http {
 
 using runtime::Io;
 
 namespace {
+using namespace std::chrono_literals;
 constexpr std::size_t kReadAtOnce = 16 * 1024;
-}
+constexpr auto kRestWithin =
+    150ms;  // of an answer that has begun: past this its length was wrong, or it hangs
+}  // namespace
 
 runtime::Task<Io> Connection::Call(const codec::HttpRequest& request, runtime::Time deadline,
                                    runtime::Cancellation* cancel, codec::HttpResponse& out) {
   sent_any_ = false;
+  whole_by_ = runtime::kNever;
   auto bytes = codec::WriteHead(request, host_);
   if (!bytes) co_return Io::kClosed;
   bytes->append(request.body);
@@ -31,7 +37,10 @@
   for (;;) {
     codec::HttpParser::State state = parser_.Feed(in_);
     if (state == codec::HttpParser::State::kNeedMore) {
-      const Io io = co_await socket_->Read(in_, kReadAtOnce, deadline, cancel);
+      const bool begun = !in_.empty() || parser_.begun();
+      if (!begun) whole_by_ = runtime::kNever;  // nothing came, or an interim answer
+      if (begun && whole_by_ == runtime::kNever) whole_by_ = runtime::Now() + kRestWithin;
+      const Io io = co_await socket_->Read(in_, kReadAtOnce, std::min(deadline, whole_by_), cancel);
       if (io == Io::kOk) continue;
       if (io != Io::kClosed) co_return io;
       state = parser_.Finish();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -4,6 +4,7 @@
 
 #include <memory>
 #include <string>
+#include <string_view>
 
 #include "codec/http.h"
 #include "runtime/socket.h"
@@ -15,7 +16,7 @@
   Connection(std::unique_ptr<runtime::Socket> socket, std::string host, codec::HttpParser::Limits limits = {})
       : socket_(std::move(socket)), host_(std::move(host)), limits_(limits), parser_(limits) {}
 
-  // Sends a call and waits for its response.
+  // Sends a call and waits for its response. Once that has begun, the rest of it follows soon or not at all.
   runtime::Task<runtime::Io> Call(const codec::HttpRequest& request, runtime::Time deadline,
                                   runtime::Cancellation* cancel, codec::HttpResponse& out);
   // Goes on waiting for the response to a call whose wait was cut short.
@@ -24,6 +25,11 @@
 
   bool pending() const { return pending_; }    // a response is still to come
   bool sent_any() const { return sent_any_; }  // the last call has handed bytes to the kernel
+  // Bytes that no answer begins with follow the last one: its length may have been told too short.
+  bool Overrun() const {
+    return !in_.empty() &&
+           !std::string_view(in_).starts_with(std::string_view("HTTP/1.").substr(0, in_.size()));
+  }
   bool Reusable() const { return !pending_ && keep_ && in_.empty() && socket_->Quiet(); }
 
  private:
@@ -32,6 +38,7 @@
   codec::HttpParser::Limits limits_;
   codec::HttpParser parser_;
   std::string in_;
+  runtime::Time whole_by_ = runtime::kNever;
   bool pending_ = false;
   bool sent_any_ = false;
   bool keep_ = true;
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -70,7 +70,7 @@
                                      [id = id](const EngineEntry& e) { return e.engine == id; });
       if (!named) left.push_back(id);
     }
-    for (const EngineId id : left) End(id);
+    for (const EngineId id : left) Forget(id);
   }
   const ListKind kind = !complete ? ListKind::kChange : loaded_ ? ListKind::kFull : ListKind::kCached;
   loaded_ = loaded_ || complete;
@@ -92,6 +92,7 @@
   const auto address = runtime::Address::Parse(host_port);
   if (!address && phase != "Gone") {
     spdlog::warn("control feed: {} has no usable address and is passed over", name);
+    if (known == nullptr) Forget(IdOf(name));
     return std::nullopt;
   }
   EngineEntry entry;
@@ -111,7 +112,7 @@
         broker::ModuleClock::AtUnix(std::chrono::milliseconds(std::max<std::int64_t>(0, up_since.Integer())));
   }
   if (entry.readiness == Readiness::kGone) {
-    End(entry.engine);
+    Forget(entry.engine);
     return entry;
   }
   if (known != nullptr && (known->entry.started_at != entry.started_at || known->host_port != host_port)) {
@@ -127,4 +128,13 @@
   if (members_.erase(engine) > 0 && on_ended) on_ended(engine);
 }
 
+// Engines are replaced all day long: nothing may stay of one that has gone.
+void Directory::Forget(EngineId engine) {
+  End(engine);
+  if (const auto it = names_.find(engine); it != names_.end()) {
+    ids_.erase(it->second);
+    names_.erase(it);
+  }
+}
+
 }  // namespace lemoncroft::membership
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -43,7 +43,8 @@
   std::optional<EngineList> ApplyEvent(const codec::Json& members);
   std::optional<EngineEntry> ApplyMember(const codec::Json& json);
   EngineId IdOf(const std::string& name);
-  void End(EngineId engine);
+  void End(EngineId engine);     // of one life
+  void Forget(EngineId engine);  // has gone for good
 
   const settings::Site& site_;
   std::map<std::string, EngineId> ids_;
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -101,6 +101,14 @@
 
 class Loop {
  public:
+  // Lets all that is ready, and the sockets, have their turn first.
+  struct Turn {
+    Loop& loop;
+    bool await_ready() const { return false; }
+    void await_suspend(std::coroutine_handle<> handle) const { loop.Post(handle); }
+    void await_resume() const {}
+  };
+
   Loop();
   Loop(const Loop&) = delete;
   Loop& operator=(const Loop&) = delete;
@@ -115,6 +123,8 @@
   }
   Waiter Sleep(Span span, Cancellation* cancel = nullptr) { return SleepUntil(Now() + span, cancel); }
 
+  Turn NextTurn() { return Turn{*this}; }
+
   void Watch(int fd, Watched* watched);  // edge-triggered, both directions; throws std::system_error
 
  private:
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -434,6 +434,83 @@
   EXPECT_GT(to_bad(100, false), 10);
 }
 
+// A client that sends what no engine can use gets errors from all of them, and must not have them ejected.
+TEST(Health, AQueryThatIsAnErrorEverywhereEjectsNoEngine) {
+  Settings s = SomeSettings();
+  s.max_attempts = 5;
+  Host host(s);
+  host.List({Ready(1), Ready(2), Ready(3), Ready(4)});
+  RequestId id = 1;
+  for (; id <= 40; ++id) {
+    host.Step({Ask(id)});
+    while (!host.refused.contains(id)) host.End(id, Outcome::kError);
+    EXPECT_EQ(host.Attempts(id), 3) << "three engines agree";
+  }
+  std::set<EngineId> used;
+  for (; id <= 80; ++id) {
+    host.Step({Ask(id)});
+    ASSERT_TRUE(host.engine_of.contains(id));
+    used.insert(host.engine_of[id]);
+    host.End(id, Outcome::kOk);
+  }
+  EXPECT_EQ(used.size(), 4u);
+}
+
+// Answers are lost on the way from all engines alike: that ejects none, unless nearly all are.
+TEST(Health, LostAnswersEjectOnlyAnEngineThatLosesMost) {
+  for (const int one_in : {5, 1}) {
+    Host host(SomeSettings());
+    host.List({Ready(1), Ready(2), Ready(3), Ready(4)});
+    int late = 0;
+    for (RequestId id = 1; id <= 200; ++id) {
+      host.Step({Ask(id)});
+      late += id > 100 && host.engine_of[id] == 1;
+      if (host.engine_of[id] == 1 && id % one_in == 0) host.End(id, Outcome::kLost);
+      host.End(id, Outcome::kOk);
+      host.now += 2 * kMs;
+    }
+    EXPECT_EQ(late > 10, one_in == 5) << late;
+  }
+}
+
+// A silent engine holds every attempt for long: two are enough.
+TEST(Health, AnEngineGoneSilentIsEjected) {
+  Host host(SomeSettings());
+  host.List({Ready(1), Ready(2), Ready(3), Ready(4)});
+  int to_silent = 0;
+  for (RequestId id = 1; id <= 100; ++id) {
+    host.Step({Ask(id)});
+    to_silent += host.engine_of[id] == 1;
+    if (host.engine_of[id] == 1) host.End(id, Outcome::kTimeout);
+    host.End(id, Outcome::kOk);
+    host.now += 2 * kMs;
+  }
+  EXPECT_LE(to_silent, 3);
+}
+
+// What can't be done within its client's patience is no demand: a huge estimate would else buy this gateway
+// the whole of a cold engine's budget.
+TEST(Rule4, AHugeEstimateIsNoDemand) {
+  Settings s = SomeSettings();
+  s.cold_from = 0.3;
+  s.warm_within = 10 * kSecond;
+  s.overload_multiple = 4;
+  s.fall_window = kSecond;
+  std::array<std::size_t, 2> sent{};
+  for (const bool huge : {false, true}) {
+    Host host(s);
+    host.List({Ready(1, host.now)});
+    if (huge) host.Step({Ask(1000, 0, 2 * kSecond, 2'000'000 * kSecond)});
+    for (RequestId id = 1; id <= 400; ++id) {
+      host.Step({Ask(id, 0, 4 * kSecond, 100 * kMs)});
+      if (host.engine_of.contains(id)) host.End(id, Outcome::kOk, 100 * kMs, 100 * kMs);
+      host.now += 5 * kMs;
+    }
+    sent[huge] = host.sends.size();
+  }
+  EXPECT_LE(sent[1], sent[0] + sent[0] / 4) << sent[0];
+}
+
 // An engine that accepts and never answers looks idle but for its attempts being overdue.
 TEST(Health, OverdueAttemptsWeighOnTheirEngine) {
   Settings s = SomeSettings();
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -146,6 +146,7 @@
 
   void Send(const Words& words) {
     if (words[2] == "bytes") return SendAll(fd_.get(), words[3]);
+    if (words[2] == "flood") return Flood(std::chrono::milliseconds(std::stoi(words[3])));
     std::string out;
     if (words[2] == "half") {
       codec::WriteFrame(out, codec::kRequestFrame, 1, std::string(std::stoul(words[3]), 'x'));
@@ -221,6 +222,25 @@
     return true;
   }
 
+  // Asks whether the proxy is ready, over and over; reads all answers.
+  void Flood(std::chrono::milliseconds span) {
+    std::string asks, answers;
+    for (int i = 0; i < 1000; ++i)
+      codec::WriteFrame(asks, codec::kReadyAskFrame, 1, std::string_view("\0", 1));
+    std::size_t at = 0;
+    for (auto until = Clock::now() + span;;) {
+      const bool more = Clock::now() < until || at > 0;
+      const ssize_t n =
+          more ? ::send(fd_.get(), asks.data() + at, asks.size() - at, MSG_NOSIGNAL | MSG_DONTWAIT) : 0;
+      if (n > 0) at = (at + static_cast<std::size_t>(n)) % asks.size();
+      pollfd p{fd_.get(), POLLIN, 0};
+      const bool come = ::poll(&p, 1, n > 0 ? 0 : more ? 1 : 300) > 0;
+      if (come && !ReadSome(fd_.get(), answers)) Wrong("cut off");
+      if (!come && !more) return;
+      answers.clear();
+    }
+  }
+
   Descriptor fd_;
   codec::FrameReader reader_;
   std::string in_;
@@ -253,6 +273,7 @@
   }
 
   void Send(const Words& words) {
+    if (words[2] == "raw") return SendAll(connections_.at(last_).fd.get(), words.at(3));
     Named named(words, 3);
     std::string out = "HTTP/1.1 " + words[2] + " X\r\n";
     for (const auto& [name, value] : named.values) out += name + ": " + value + "\r\n";
@@ -372,6 +393,7 @@
   void Do(const Words& w) {
     const std::string& party = w[0];
     if (party == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(w.at(1))));
+    if (party == "clock") return w.at(1) == "send" ? void(clock_ = Clock::now()) : ExpectPassed(w.at(2));
     if (party == "engine") return void(servers_.try_emplace(w.at(1)));
     if (party == "config") return void(config_.emplace_back(w.at(1), w.at(2)));
     if (party == "program") return Program(w);
@@ -407,6 +429,11 @@
     }
   }
 
+  void ExpectPassed(const std::string& ms) const {
+    if (Clock::now() - clock_ < std::chrono::milliseconds(std::stoi(ms)))
+      Wrong("it took less than " + ms + " ms");
+  }
+
   void Fill(std::string& text) const {
     for (const auto& [name, server] : servers_) {
       Replace(text, "{" + name + "}", "127.0.0.1:" + std::to_string(server.port()));
@@ -503,6 +530,7 @@
   std::map<std::string, Client> clients_;
   std::vector<std::pair<std::string, std::string>> config_;
   std::string folder_, parsed_;
+  Clock::time_point clock_ = Clock::now();
   int listen_ = 0;
   pid_t pid_ = 0;
 };
