Let the connection idle longest make room at once, and newcomers wait for it

Checked with a trace line at the refusal: 5,830 newcomers turned away, each time with all 153 connections taken, 4 to 30 of them busy and 120 to 150 idle for less than a second. Ruled out: engines (100% in time between the bursts), CPU (0.09 in the busiest second), never-asked clients (0 to 4). At fault: MakeRoom in src/frontend/frame_server.cpp took idle ones only after a second (nothing did before that), and AcceptAll closed the newcomer.

Also: a connection reset while it comes up is tried once more before the engine counts as not reachable, and the wait for the rest of an answer starts anew with each part of it (src/backend/engines.cpp, src/http/connection.cpp).

--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -17,6 +17,7 @@
 
 constexpr auto kSilence = 450ms;  // an engine answers a question within 250 ms
 constexpr int kAsks = 3;          // of one question: a query that is not asked for ends after 2 s
+constexpr int kConnects = 2;      // that may break before a byte has gone, other than idle ones
 constexpr auto kLinger = 400ms;   // for the answer to a question that no longer matters
 constexpr int kPagesMost = 256;
 constexpr std::size_t kPageMost = 6000;
@@ -99,9 +100,11 @@
   const Attempt& attempt = query.attempt;
   const broker::Passed& passed = *attempt.passed;
   if (Now() >= attempt.deadline) co_return Outcome::kMoot;
-  for (;;) {
+  for (int broken = 0;;) {
     const runtime::Time limit = std::min(attempt.deadline, Now() + connect_timeout_);
     const Io up = co_await pool_.Acquire(attempt.engine, limit, &query.cancel, query.lease);
+    // Reset while it came up: that can be this connection's own fate, where a refusal tells of the engine.
+    if (up == Io::kClosed && ++broken < kConnects) continue;
     if (up != Io::kOk) co_return ConnectOutcome(up);
     // The engine may have begun to drain, or the request have ended, while the connection came up.
     if (query.cancel.cancelled() || !directory_.MaySend(attempt.engine)) co_return Outcome::kMoot;
@@ -127,9 +130,9 @@
       query.lease = Lease();
       co_return co_await Ask(query, 0);
     }
-    // Not a byte has gone: an idle connection that broke just now. Another one will do.
+    // Not a byte has gone: a connection that broke just now. Another one will do.
     if (io == Io::kCancelled) co_return Outcome::kMoot;
-    if (!query.lease.reused()) co_return Outcome::kConnectFailed;
+    if (!query.lease.reused() && ++broken >= kConnects) co_return Outcome::kConnectFailed;
   }
 }
 
@@ -139,7 +142,8 @@
   codec::HttpRequest ask;
   ask.method = "GET";
   ask.path = PathOf(query.attempt.passed->id) + "/" + std::to_string(page);
-  bool silent = true;
+  bool heard = false;
+  Outcome end = Outcome::kLost;
   for (int tries = 0; tries < kAsks; ++tries) {
     // One that the engine closes, or that holds more than was asked for, is left.
     if (query.lease && !query.lease->Reusable()) query.lease = Lease();
@@ -150,17 +154,20 @@
       if (up == Io::kCancelled) co_return Outcome::kCancelled;
       if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
       if (up == Io::kNoDescriptors) co_return Outcome::kLost;
-      if (up != Io::kOk) co_return Outcome::kReset;
+      end = Outcome::kReset;
+      if (up == Io::kClosed) continue;
+      if (up != Io::kOk) co_return end;
     }
     const Io io = co_await query.lease->Call(ask, query.Limit(), &query.cancel, query.response);
     if (io == Io::kOk && Fits(*query.lease, query.response, page)) co_return Outcome::kOk;
     if (io == Io::kCancelled) co_return Outcome::kCancelled;
     if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
-    silent = silent && io == Io::kTimeout;
+    heard = heard || io != Io::kTimeout;
+    end = heard ? Outcome::kLost : Outcome::kTimeout;
     query.lost = true;
     query.lease = Lease();
   }
-  co_return silent ? Outcome::kTimeout : Outcome::kLost;
+  co_return end;
 }
 
 // Asks for the query's end until it comes.
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -28,8 +28,9 @@
 constexpr int kAcceptsATurn = 16;
 // A client that says nothing, or leaves a frame half, is let go: by then it is owed an answer or a close.
 constexpr auto kFrameWithin = 2000ms;
-constexpr auto kNewFor = 100ms;    // too new to be called silent where descriptors are short
-constexpr auto kIdleFor = 1000ms;  // a connection with nothing open for so long may make room
+constexpr auto kNewFor = 30ms;  // too new to be called silent where descriptors are short
+constexpr auto kRoomWithin = 500ms, kRoomPause = 10ms;  // of a newcomer that finds all connections busy
+constexpr auto kTellEvery = 10s;                        // in the log, at the most
 // One that goes on sending what can't be used is read this much more slowly, so that others are not.
 constexpr int kErrorsFree = 8;
 constexpr auto kErrorPause = 25ms;
@@ -135,9 +136,15 @@
     }
     // Those who came first are heard first: a flood of newcomers must not hold up, or push out, who asks.
     if (accepted % kAcceptsATurn == 0) co_await loop_.NextTurn();
-    std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
-    // Past that the engines' share of descriptors would shrink.
-    if (connections_.size() >= limits_.connections && !MakeRoom()) continue;
+    // Past the limit the engines' share of descriptors would shrink. A newcomer waits a while for room.
+    const runtime::Time until = Now() + kRoomWithin;
+    while (!HasRoom() && !MakeRoom() && Now() < until && !stop_accepting_.cancelled()) {
+      co_await loop_.Sleep(kRoomPause, &stop_accepting_);
+    }
+    if (!HasRoom() && Now() >= until) {
+      TellTurnedAway();
+      continue;
+    }
     auto connection = std::make_shared<Connection>();
     connection->socket = std::move(socket);
     connections_.push_back(connection);
@@ -146,8 +153,14 @@
   listener_.reset();
 }
 
-// The oldest of those that never asked properly goes first, then the one that has been idle longest: where
-// nothing is open a proxy may close.
+bool FrameServer::HasRoom() {
+  std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
+  return connections_.size() < limits_.connections;
+}
+
+// The oldest of those that never asked properly goes first, then the one that has been idle longest, however
+// short that is: clients that open a connection for every request leave hundreds behind. Where nothing is
+// open a proxy may close.
 bool FrameServer::MakeRoom() {
   const runtime::Time now = Now();
   ConnectionPtr silent, idle;
@@ -155,13 +168,21 @@
     const ConnectionPtr c = weak.lock();
     if (!c || c->closed || c->stop_reading.cancelled() || !c->streams.empty()) continue;
     if (!c->asked && now - c->opened > kNewFor && !silent) silent = c;
-    if (c->asked && now - c->active > kIdleFor && (!idle || c->active < idle->active)) idle = c;
+    if (c->asked && (!idle || c->active < idle->active)) idle = c;
   }
   const ConnectionPtr& least = silent ? silent : idle;
   if (least) least->stop_reading.Cancel();
   return least != nullptr;
 }
 
+void FrameServer::TellTurnedAway() {
+  ++turned_away_;
+  if (Now() - told_turned_away_ < kTellEvery) return;
+  spdlog::warn("clients: {} connections turned away so far, all {} are busy", turned_away_,
+               limits_.connections);
+  told_turned_away_ = Now();
+}
+
 Task<> FrameServer::Serve(ConnectionPtr connection) {
   Connection& c = *connection;
   loop_.Spawn(WriteOut(connection));
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -44,6 +44,8 @@
   using ConnectionPtr = std::shared_ptr<Connection>;
 
   runtime::Task<> AcceptAll();
+  bool HasRoom();
+  void TellTurnedAway();
   bool MakeRoom();  // for one more connection, by closing one that is worth less; false: there is none
   runtime::Task<> Serve(ConnectionPtr connection);
   runtime::Task<> ReadIn(ConnectionPtr connection);  // until nothing more is to be read
@@ -69,6 +71,8 @@
   std::list<std::weak_ptr<Connection>> connections_;  // by age
   std::size_t unread_ = 0;                            // bytes handed to the writers and not yet to the kernel
   std::size_t unparsed_ = 0;
+  std::size_t turned_away_ = 0;
+  runtime::Time told_turned_away_{};
   bool ready_ = false;
   bool ending_ = false;
 };
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -16,7 +16,6 @@
 runtime::Task<Io> Connection::Call(const codec::HttpRequest& request, runtime::Time deadline,
                                    runtime::Cancellation* cancel, codec::HttpResponse& out) {
   sent_any_ = false;
-  whole_by_ = runtime::kNever;
   auto bytes = codec::WriteHead(request, host_);
   if (!bytes) co_return Io::kClosed;
   bytes->append(request.body);
@@ -37,10 +36,9 @@
   for (;;) {
     codec::HttpParser::State state = parser_.Feed(in_);
     if (state == codec::HttpParser::State::kNeedMore) {
-      const bool begun = !in_.empty() || parser_.begun();
-      if (!begun) whole_by_ = runtime::kNever;  // nothing came, or an interim answer
-      if (begun && whole_by_ == runtime::kNever) whole_by_ = runtime::Now() + kRestWithin;
-      const Io io = co_await socket_->Read(in_, kReadAtOnce, std::min(deadline, whole_by_), cancel);
+      const bool begun = !in_.empty() || parser_.begun();  // and not after an interim answer alone
+      const runtime::Time rest = begun ? runtime::Now() + kRestWithin : runtime::kNever;
+      const Io io = co_await socket_->Read(in_, kReadAtOnce, std::min(deadline, rest), cancel);
       if (io == Io::kOk) continue;
       if (io != Io::kClosed) co_return io;
       state = parser_.Finish();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -38,7 +38,6 @@
   codec::HttpParser::Limits limits_;
   codec::HttpParser parser_;
   std::string in_;
-  runtime::Time whole_by_ = runtime::kNever;
   bool pending_ = false;
   bool sent_any_ = false;
   bool keep_ = true;
