--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -15,10 +15,13 @@
 
 namespace {
 
-constexpr auto kSilence = 450ms;  // an engine answers a question within 250 ms
-constexpr int kAsks = 3;          // of one question: a query that is not asked for ends after 2 s
-constexpr int kConnects = 2;      // that may break before a byte has gone, other than idle ones
-constexpr auto kLinger = 400ms;   // for the answer to a question that no longer matters
+// An engine has news within 250 ms and a page at once. To ask again too early costs a question, too late the
+// aim of a short query.
+constexpr auto kNewsWithin = 300ms;
+constexpr auto kPageWithin = 100ms;  // and longer with each try
+constexpr int kAsks = 4;             // of one question: a query that is not asked for ends after 2 s
+constexpr int kConnects = 2;         // that may break before a byte has gone, other than idle ones
+constexpr auto kLinger = 400ms;      // for the answer to a question that no longer matters
 constexpr int kPagesMost = 256;
 constexpr std::size_t kPageMost = 6000;
 constexpr std::size_t kRowsMost = 64 * 1024;  // a result has 48,000 bytes at most
@@ -71,7 +74,7 @@
   Result result;
   bool lost = false;  // an answer about it has been lost: what the engine knows of it is in doubt
 
-  runtime::Time Limit() const { return std::min(attempt.deadline, Now() + kSilence); }
+  runtime::Time Limit(runtime::Span within) const { return std::min(attempt.deadline, Now() + within); }
 };
 
 Task<Result> Engines::Run(const Attempt& attempt, runtime::Cancellation& cancel) {
@@ -121,7 +124,7 @@
     if (grant > 0) post.headers.emplace_back("Pool-Mb", std::to_string(grant));
     post.headers.emplace_back("Pool-Rank", std::to_string(attempt.priority));
     post.body = passed.statement;
-    const Io io = co_await query.lease->Call(post, query.Limit(), &query.cancel, query.response);
+    const Io io = co_await query.lease->Call(post, query.Limit(kNewsWithin), &query.cancel, query.response);
     if (io == Io::kOk && Fits(*query.lease, query.response, 0)) co_return Outcome::kOk;
     if (io == Io::kOk || query.lease->sent_any()) {
       if (io == Io::kCancelled) co_return Outcome::kCancelled;
@@ -158,7 +161,8 @@
       if (up == Io::kClosed) continue;
       if (up != Io::kOk) co_return end;
     }
-    const Io io = co_await query.lease->Call(ask, query.Limit(), &query.cancel, query.response);
+    const runtime::Span within = page == 0 ? kNewsWithin : kPageWithin * (tries + 1);
+    const Io io = co_await query.lease->Call(ask, query.Limit(within), &query.cancel, query.response);
     if (io == Io::kOk && Fits(*query.lease, query.response, page)) co_return Outcome::kOk;
     if (io == Io::kCancelled) co_return Outcome::kCancelled;
     if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
