Call hung loads off at four times the pace; keep heavy queries from engines that hang some

A trace of all attempts (debug log): 294 lookups called off as runaways, 287 of them at two engines, 9% of what these were sent from 7 s on, while their median pace stayed the best of the fleet; and 10 loads of 638 without an end after 8.3 s, all at these two, though other loads of the same group ended there meanwhile. Ruled out: resets (573 attempts, each over in less than 3 ms), loads of one group in each other's way (4 of the 10 had no other there), jams (lookups at 0.9 and 1.0 of their work all along).

Now a keyed attempt is called off at four times the expected time or more, once the pace is known, and tried elsewhere; and an engine's share of hung light attempts above the fleet's weighs on heavy queries.

Both new module tests fail on the old build.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -59,14 +59,19 @@
 constexpr Nanos kBackoffMost = 4 * kSecond;  // ... to this: troubles last 5 to 30 s
 constexpr double kEjectMost = 0.5;           // share of the fleet that may be out for errors
 constexpr double kSlowest = 0.08;            // least relative speed believed
+constexpr double kHungWeight = 0.02;         // of the newest light attempt in the share that hang
+constexpr double kHungNoise = 0.015;         // share above the fleet's that chance brings
+constexpr double kHungCost = 60;             // times the expected time: what a hung heavy attempt costs
 // Cold engines.
 constexpr double kUntold = 2;          // a heavy query's weight in it where costs aren't told
 constexpr double kColdSafety = 0.75;   // of the allowed budget: slow cores, bad estimates
 constexpr double kColdDeviations = 3;  // of chance arrivals from all gateways that the budget has room for
 // Runaway attempts.
-constexpr double kRunawayLeast = 2.5;   // times the expected duration, at the least
-constexpr double kRunawayMost = 8;      // and at the most
-constexpr double kRunawayLight = 4;     // for light classes: little is lost with one
+constexpr double kRunawayLeast = 2.5;  // times the expected duration, at the least
+constexpr double kRunawayMost = 8;     // and at the most
+constexpr double kRunawayLight = 4;    // for light classes: little is lost with one
+constexpr double kRunawayKeyed =
+    4;  // at the least for keyed ones: much is, and loads stand in each other's way
 constexpr double kRunawayNoted = 5;     // times the expected duration, as its notes project
 constexpr double kRunawaySpread = 2.5;  // deviations (of log work) that an honest attempt may stray
 constexpr int kKills = 2;               // cancels of one request: then it is held to be heavy itself
@@ -108,7 +113,7 @@
   double others = 0;   // queries that other gateways run there
   double latency = 1;  // against the best of the class
   int samples = 0;
-  double errors = 0;
+  double errors = 0, hung = 0;
   Nanos ejected_until = 0;
   Nanos backoff = kBackoff;
   double cold_credit = 0;  // thread seconds that may be sent while it is cold
@@ -394,10 +399,9 @@
 
   // ---- The share ----
 
-  // With many gateways the seed at an engine is less than a query, and one query each would be a flood. The
-  // bound then holds over time and the whole fleet: a gateway earns thread seconds by its own demand and pays
-  // for what its attempts took, ahead as expected. Harm: after a burst of its own it waits although engines
-  // have room.
+  // With many gateways the seed at an engine is less than a query. The bound then holds over time and the
+  // whole fleet: a gateway earns thread seconds by its own demand and pays for what its attempts took, ahead
+  // as expected. Harm: after a burst of its own it waits although engines have room.
   void Earn(double seconds) {
     double cores = 0;
     for (const auto& [id, e] : engines_) cores += e.listed ? e.cores : 0;
@@ -413,8 +417,7 @@
     credit_ = std::clamp(credit_ + share * seconds, -most, most);
   }
 
-  // Without credit a heavy query goes only where the engine is seen to be idle enough, or where none reports
-  // while the fleet answers as fast as at its best.
+  // Without credit a heavy query needs an engine seen to be idle, or, with no reports, a fleet at its best.
   bool MayAfford(const Query& q, const Engine& e) const {
     if (credit_ > 0 || Class(q).holds_tables) return true;
     if (set_.report_fields.empty()) return fleet_latency_ < kFleetPressed;
@@ -480,10 +483,9 @@
     return true;
   }
 
-  // An engine started lately gets a budget of work for every fall window, the stated multiple of what it can
-  // do, and this gateway its part of the fleet's demand of it. That is seldom a whole query: a send needs a
-  // random part of its charge, drawn anew in each window, so that all gateways send the budget in
-  // expectation. Nothing is saved up: an engine left alone for a while would be rushed by all of them.
+  // An engine started lately gets a budget of work for every fall window, and this gateway its part of the
+  // fleet's demand of it: seldom a whole query. So a send needs a random part of its charge, drawn anew in
+  // each window. Nothing is saved up: an engine left alone for a while would be rushed by all gateways.
   bool ColdRoom(Engine& e, const Query& q) {
     if (!Cold(e)) return true;
     const double earned = ColdRate(e) * part_;
@@ -507,8 +509,7 @@
   }
 
   // Of a budget b, queries of work w that come by chance may use x b: x + z sqrt(x w / b) = 1. None counts as
-  // less than its class, since the lightest leave first; where costs are never told the class's mean is a
-  // guess.
+  // less than its class, since the lightest leave first; a mean of costs never told is a guess.
   double ColdCharge(const Engine& e, const Query& q) {
     const double work = std::max(q.work, Stats(q).work) * (set_.tells_cost || Light(q) ? 1 : kUntold);
     const double budget = std::max(1e-6, ColdRate(e) * Seconds(set_.fall_window));
@@ -546,8 +547,7 @@
     if (e.errors >= kErrorEject && e.backoff > kBackoff && !e.runs.empty()) return false;  // on probation
     if (!Light(q) && (!MayAfford(q, e) || !MemoryRoom(e, q))) return false;
     if (!Pressed(e, q)) return true;
-    // Running none of ours: free to go, but for a heavy query where others, as reported, have filled the
-    // engine.
+    // Running none of ours: free to go, but for a heavy query where others, as reported, have filled it.
     if (e.runs.empty()) return Light(q) || Level(e) + q.threads <= kCrowded * e.cores;
     return e.threads[Light(q)] + q.threads / 2 <= e.bound * Speed(e);
   }
@@ -631,7 +631,6 @@
 
   double Weight(const Query& q, Engine& e) {
     double running = 0, overdue = 0;
-    const bool load = Class(q).holds_tables;
     for (RequestId id : e.runs) {
       const Query& r = queries_.at(id);
       const double progress = Seconds(now_ - r.sent_at) / std::max(1e-3, ExpectedSeconds(r));
@@ -639,11 +638,12 @@
       overdue += progress > kOverdue;
     }
     running += (Fresh(e) ? e.others : others_mean_) * mean_run_;
-    const bool warm =
-        std::find(e.warm.begin(), e.warm.end(), q.in.tables) != e.warm.end() || (e.rank < kHomes && !load);
+    const bool warm = std::find(e.warm.begin(), e.warm.end(), q.in.tables) != e.warm.end() ||
+                      (e.rank < kHomes && !Class(q).holds_tables);
     double own = q.work / q.threads * (warm ? 1 - kWarmGain : 1);
-    // Attempts overdue tell of a slow, hung or jammed engine long before its answers do.
-    return (running / e.cores + own) / Speed(e) * (1 + overdue);
+    // Overdue attempts tell of a sick engine before its answers do; one that hangs some answers others fast.
+    const double hangs = Light(q) ? 0 : kHungCost * std::max(0.0, e.hung - fleet_hung_ - kHungNoise);
+    return (running / e.cores + own) / Speed(e) * (1 + overdue + hangs);
   }
 
   double Need(const Query& q) {
@@ -691,15 +691,14 @@
 
   Nanos RunawayAfter(const Query& q) {
     if (!set_.may_cancel || !MayRepeat(q) || (set_.progress_every > 0 && !Light(q))) return 0;
-    const double times = std::clamp(1.5 * std::exp(kRunawaySpread * Stats(q).deviation), kRunawayLeast,
-                                    Light(q) ? kRunawayLight : kRunawayMost);
-    const Nanos after = ToNanos(ExpectedSeconds(q) * times);
-    return Class(q).effect == Effect::kKeyed ? std::max(after, LastRepeat(q) - q.sent_at) : after;
+    const double most = Light(q) ? kRunawayLight : kRunawayMost, spread = kRunawaySpread * Stats(q).deviation;
+    const double times = std::clamp(1.5 * std::exp(spread), kRunawayLeast, most);
+    if (Class(q).effect != Effect::kKeyed) return ToNanos(ExpectedSeconds(q) * times);
+    const double keyed = std::max(times, Stats(q).answers < kFewAnswers ? HUGE_VAL : kRunawayKeyed);
+    return std::min(ToNanos(ExpectedSeconds(q) * keyed), LastRepeat(q) - q.sent_at);
   }
 
-  // A keyed attempt may be called off as well, while its repeat is still discarded and its key's rest
-  // counted: its answer may be lost. It waits to the last moment for that, since a load cut short is much
-  // work lost.
+  // A keyed attempt may be called off only while its repeat is still discarded and its key's rest counted.
   Nanos LastRepeat(const Query& q) const {
     const Nanos from = q.maybe_ran_at >= 0 ? q.maybe_ran_at : q.sent_at;
     return from + Class(q).repeat_window - set_.order_settle - 4 * kBeat - kAnswerMargin;
@@ -710,9 +709,8 @@
     return now_ <= LastRepeat(q) + 2 * kBeat;
   }
 
-  // An attempt that runs far past what its query should need: a bad plan or a sick engine. It is cancelled
-  // and tried elsewhere, while a further attempt still can be in time; a query that has been so twice is
-  // heavy itself. Harm: in an overload it throws work away, so it is measured against the fleet's own pace.
+  // An attempt that runs far past what its query should need is cancelled and tried elsewhere while that can
+  // be in time; a query that has been so twice is heavy itself. Harm: in an overload it throws work away.
   void CheckRunning(Query& q) {
     const Nanos after = RunawayAfter(q);
     if (after > 0 && now_ < q.sent_at + after) return Schedule(q, q.sent_at + after);
@@ -789,7 +787,10 @@
     if (how == Outcome::kError) q.erred.push_back(q.engine);
     if (how == Outcome::kLost) Failed(e, kLostWeight);
     if (how == Outcome::kTimeout && now_ < q.deadline - kAnswerMargin) Failed(e, kBrokenWeight);
-    if (how == Outcome::kCancelled && q.kills > 0) Blend(e.latency, std::min(20.0, 3 * e.latency), kFast);
+    const bool hung = how == Outcome::kCancelled && q.kills > 0 && q.where != Where::kDone;
+    if (hung) Blend(e.latency, std::min(20.0, 3 * e.latency), kFast);
+    if (q.lane && (hung || how == Outcome::kOk))
+      Blend(e.hung, hung, kHungWeight), Blend(fleet_hung_, hung, kHungWeight / 4);
     if (how == Outcome::kConnectFailed || how == Outcome::kReset) Failed(e, kBrokenWeight);
   }
 
@@ -832,12 +833,10 @@
     Blend(s.memory_error, std::abs(off), weight);
   }
 
-  // An error is the engine's only where another could serve the query: else anyone who sends what no engine
-  // can use would have all of them ejected.
+  // An error is the engine's only where another serves the query: what no engine can use must eject none.
   void Blame(const Query& q) {
-    for (const EngineId id : q.erred) {
-      if (auto e = engines_.find(id); e != engines_.end() && id != q.engine) Failed(e->second, kErrorWeight);
-    }
+    for (auto& [id, e] : engines_)
+      if (id != q.engine && std::count(q.erred.begin(), q.erred.end(), id) > 0) Failed(e, kErrorWeight);
   }
 
   // Failures, fast ones above all, must not pass for low load: an engine that fails a share of its attempts
@@ -945,7 +944,8 @@
   std::vector<ClassStats> stats_;
   std::vector<Tenant> tenants_;
   std::deque<Nanos> taken_, further_;
-  double fleet_latency_ = 1, others_mean_ = 0, mean_run_ = 0.1, mean_threads_ = 1, mean_memory_ = 0;
+  double fleet_latency_ = 1, fleet_hung_ = 0, others_mean_ = 0, mean_run_ = 0.1, mean_threads_ = 1,
+         mean_memory_ = 0;
   bool held_seen_ = false, aim_missed_ = false, loads_block_ = false;
   double demand_ = 0, credit_ = 0, part_ = 0, heaviest_ = 0;
   bool earning_ = false;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -511,6 +511,56 @@
   EXPECT_LE(sent[1], sent[0] + sent[0] / 4) << sent[0];
 }
 
+// A load that hangs would do so until its client gives up; while its repeats are discarded it goes elsewhere.
+TEST(Health, AHungLoadIsTriedElsewhereWellWithinItsDeadline) {
+  Settings s = SomeSettings();
+  s.tells_cost = true;
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].deadline = s.classes[0].repeat_window = 20 * kSecond;
+  Host host(s);
+  host.List({Ready(1), Ready(2)});
+  for (RequestId id = 1; id <= 40; ++id) {
+    host.Step({Ask(id)});
+    host.End(id, Outcome::kOk, 100 * kMs, 100 * kMs);
+  }
+  host.Step({Ask(99, 0, 20 * kSecond)});
+  host.RunUntil(host.now + 380 * kMs);
+  EXPECT_FALSE(host.cancels.contains(99));
+  host.RunUntil(host.now + kSecond);
+  ASSERT_TRUE(host.cancels.contains(99));
+  const EngineId hung = host.engine_of[99];
+  host.End(99, Outcome::kCancelled);
+  EXPECT_EQ(host.Attempts(99), 2);
+  EXPECT_NE(host.engine_of[99], hung);
+}
+
+// An engine that leaves a part of its queries hanging answers the rest as fast as ever: what is heavy, and
+// lost when it hangs, keeps away from it.
+TEST(Health, HeavyQueriesKeepAwayFromAnEngineThatHangsSome) {
+  Settings s = SomeSettings();
+  s.tells_cost = true;
+  s.report_fields.clear();
+  s.classes = {SomeClass(1), SomeClass(10, 2)};
+  Host host(s);
+  host.List({Ready(1), Ready(2), Ready(3)});
+  int heavy_to_sick = 0, heavy = 0, lights_to_sick = 0;
+  for (RequestId id = 1; id <= 900; ++id) {
+    const bool report = id % 5 == 0;
+    const Nanos work = report ? 2 * kSecond : 100 * kMs;
+    host.Step({Ask(id, report, 4 * kSecond, work)});
+    heavy += report && id > 300;
+    heavy_to_sick += report && id > 300 && host.engine_of[id] == 1;
+    if (!report && host.engine_of[id] == 1 && ++lights_to_sick % 10 == 0) {  // cancelled once it is overdue
+      host.RunUntil(host.now + 900 * kMs);
+      if (host.cancels.contains(id)) host.End(id, Outcome::kCancelled);
+    }
+    const Nanos waited = work / (report ? 2 : 1);
+    host.End(id, Outcome::kOk, host.engine_of[id] == 1 ? waited * 2 / 3 : waited, work);
+    host.now += 5 * kMs;
+  }
+  EXPECT_LT(heavy_to_sick, heavy / 8) << heavy;
+}
+
 // An engine that accepts and never answers looks idle but for its attempts being overdue.
 TEST(Health, OverdueAttemptsWeighOnTheirEngine) {
   Settings s = SomeSettings();
