Read through one buffer, so that idle connections hold no memory

Checked by reading: Socket::Read (src/runtime/socket.cpp) made room for 16 KB in the connection's own buffer before it waited, and shrinking a string keeps its capacity. Ruled out: unread answers and half frames (their clients had read and sent all).

--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -34,6 +34,7 @@
 
   const Member* Find(EngineId engine) const;
   bool MaySend(EngineId engine) const;  // listed and neither draining nor gone
+  std::size_t remembered() const { return ids_.size() + names_.size() + members_.size(); }  // entries kept
   bool loaded() const { return loaded_; }
   std::int64_t last() const { return last_; }
   // Called with an engine whose connections are of no more use: it has gone, or started anew.
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -5,6 +5,7 @@
 #include <sys/socket.h>
 
 #include <algorithm>
+#include <array>
 #include <cerrno>
 #include <charconv>
 #include <system_error>
@@ -12,6 +13,8 @@
 namespace lemoncroft::runtime {
 namespace {
 
+constexpr std::size_t kReadMost = std::size_t{16} * 1024;
+
 bool WouldBlock(int error) { return error == EAGAIN || error == EWOULDBLOCK; }
 
 Io FromWake(Wake wake) { return wake == Wake::kTimeout ? Io::kTimeout : Io::kCancelled; }
@@ -63,16 +66,15 @@
 }
 
 Task<Io> Socket::Read(std::string& into, std::size_t most, Time deadline, Cancellation* cancel) {
+  // One for all sockets: a buffer grows by what has come, so that hundreds which wait hold no memory for it.
+  static thread_local std::array<char, kReadMost> scratch;
   for (;;) {
-    const std::size_t before = into.size();
-    into.resize(before + most);
-    const ssize_t n = ::recv(fd_.get(), into.data() + before, most, 0);
-    const int error = errno;
-    into.resize(before + static_cast<std::size_t>(std::max<ssize_t>(n, 0)));
+    const ssize_t n = ::recv(fd_.get(), scratch.data(), std::min(most, scratch.size()), 0);
+    if (n > 0) into.append(scratch.data(), static_cast<std::size_t>(n));
     if (n > 0) co_return Io::kOk;
     if (n == 0) co_return Io::kClosed;
-    if (error == EINTR) continue;
-    if (!WouldBlock(error)) co_return Io::kClosed;
+    if (errno == EINTR) continue;
+    if (!WouldBlock(errno)) co_return Io::kClosed;
     const Wake wake = co_await Waiter(loop_, &watched_.readable, deadline, cancel);
     if (wake != Wake::kReady) co_return FromWake(wake);
   }
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -27,7 +27,7 @@
   Socket(const Socket&) = delete;
   Socket& operator=(const Socket&) = delete;
 
-  // Appends what has come, at most `most` bytes, to `into`.
+  // Appends what has come, at most `most` bytes and 16 KB, to `into`.
   Task<Io> Read(std::string& into, std::size_t most, Time deadline, Cancellation* cancel = nullptr);
   // Writes all of `bytes`; `written` counts what the kernel took, also on failure.
   Task<Io> Write(std::string_view bytes, std::size_t& written, Time deadline, Cancellation* cancel = nullptr);
