Leave loads on cold engines to run: slow there is not hung

At fault: RunawayAfter in src/gateway.cpp took a cold engine, which has 31% of its capacity, for one that hangs.

The new module test fails without the change.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -579,8 +579,7 @@
     return best;
   }
 
-  // Heavy queries go only where a fresh report, or queries of our own, tell of the load: with hundreds of
-  // gateways nearly all of it is others'. Engines are probed for it where answers don't bring enough reports.
+  // Heavy queries go where a fresh report tells of the load; engines are probed where answers bring too few.
   bool Inform(std::vector<Engine*>& able) {
     if (!set_.may_probe || set_.report_fields.empty()) return true;
     std::vector<Engine*> unknown;
@@ -603,8 +602,8 @@
   std::size_t Pick(std::size_t n) { return std::min(n - 1, static_cast<std::size_t>(Random() * n)); }
 
   // All gateways rank the engines alike for a table group, by rendezvous hashing (Thaler and Ravishankar
-  // 1998). The first are its home, where readers keep it warm. The last take its loads, which shut out
-  // readers and which no other gateway sees: neither goes to the others' side.
+  // 1998). The first are its home, kept warm by readers; the last take its loads, which no other gateway
+  // sees.
   void RankFor(const Query& q, std::vector<Engine*>& able) {
     std::vector<std::pair<std::uint64_t, Engine*>> ranks;
     for (auto& [id, e] : engines_) {
@@ -694,7 +693,9 @@
     const double most = Light(q) ? kRunawayLight : kRunawayMost, spread = kRunawaySpread * Stats(q).deviation;
     const double times = std::clamp(1.5 * std::exp(spread), kRunawayLeast, most);
     if (Class(q).effect != Effect::kKeyed) return ToNanos(ExpectedSeconds(q) * times);
-    const double keyed = std::max(times, Stats(q).answers < kFewAnswers ? HUGE_VAL : kRunawayKeyed);
+    const auto e = engines_.find(q.engine);  // a cold one has a pace of its own
+    const bool known = Stats(q).answers >= kFewAnswers && e != engines_.end() && !Cold(e->second);
+    const double keyed = known ? std::max(times, kRunawayKeyed) : HUGE_VAL;
     return std::min(ToNanos(ExpectedSeconds(q) * keyed), LastRepeat(q) - q.sent_at);
   }
 
@@ -925,8 +926,7 @@
     auto it = queries_.find(start.id);
     if (it != queries_.end()) it->second.due = 0;  // the attempt is the client's now: no more checks
   }
-  template <typename T>  // nothing to learn: a message, a timer
-  void On(const T&) {}
+  void On(const auto&) {}  // nothing to learn: a message, a timer
 
   Settings set_;
   std::mt19937_64 random_;
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -534,6 +534,29 @@
   EXPECT_NE(host.engine_of[99], hung);
 }
 
+// On an engine that is still cold a load takes long without hanging: cut short, all its work would be lost.
+TEST(Health, ALoadOnAColdEngineIsLeftToRun) {
+  Settings s = SomeSettings();
+  s.tells_cost = true;
+  s.cold_from = 0.3;
+  s.warm_within = 14 * kSecond;
+  s.overload_multiple = 4;
+  s.fall_window = kSecond;
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].deadline = s.classes[0].repeat_window = 20 * kSecond;
+  Host host(s);
+  host.List({Ready(1)});
+  for (RequestId id = 1; id <= 40; ++id) {
+    host.Step({Ask(id)});
+    host.End(id, Outcome::kOk, 100 * kMs, 100 * kMs);
+  }
+  host.List({Ready(2, host.now)});
+  host.Step({Ask(99, 0, 20 * kSecond)});
+  host.RunUntil(host.now + 3 * kSecond);
+  ASSERT_EQ(host.engine_of[99], 2u);
+  EXPECT_FALSE(host.cancels.contains(99));
+}
+
 // An engine that leaves a part of its queries hanging answers the rest as fast as ever: what is heavy, and
 // lost when it hangs, keeps away from it.
 TEST(Health, HeavyQueriesKeepAwayFromAnEngineThatHangsSome) {
