--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -19,7 +19,7 @@
     directory.Apply(codec::Json::Parse(R"({"n":)" + number + R"(,"events":[{"n":)" + number +
                                        R"(,"members":{"complete":false,"members":[{"id":")" + id +
                                        R"(","host_port":"127.0.0.1:80","phase":")" + phase + R"("}]}}]})"),
-                    [](EngineList) {});
+                    [](const EngineList&) {});
   };
   for (int n = 1; n <= 100; ++n) {
     const std::string id = "s-" + std::to_string(n);
