Take the inherited listening socket in a successor, and answer operators' readyz

Change: $PROXY_FD names the clients' socket; a successor accepts once it has the list and the feed has answered; from SIGTERM on the queue is left to it, and the descriptor leaves the epoll set before it is closed. A management listener (src/management/) answers readyz; calls are bounded in length, number and time.

--- a/src/cli/config.cpp
+++ b/src/cli/config.cpp
@@ -50,14 +50,14 @@
   return static_cast<std::size_t>(std::clamp<std::int64_t>(json.Integer(), 0, std::int64_t{1} << 40));
 }
 
+}  // namespace
+
 runtime::Address ReadAddress(const std::string& text, const char* what) {
   const auto address = runtime::Address::Parse(text);
   if (!address) throw ConfigError(std::string(what) + ": '" + text + "' is not an IPv4 address with a port");
   return *address;
 }
 
-}  // namespace
-
 settings::Pairs Flatten(const Json& settings) {
   settings::Pairs out;
   FlattenInto(out, "", settings);
@@ -72,6 +72,8 @@
     config.name = json["name"].text;
     config.listen_text = json["listen"].text;
     config.listen = ReadAddress(config.listen_text, "listen");
+    const std::string& management = json["management"].text;
+    if (!management.empty()) config.management = ReadAddress(management, "management");
     config.seed = ReadSeed(json["seed"].text);
     config.memory_mb = ReadSize(json["limits"]["memory_mb"]);
     config.sockets = ReadSize(json["limits"]["sockets"]);
--- a/src/cli/config.h
+++ b/src/cli/config.h
@@ -3,6 +3,7 @@
 #define LEMONCROFT_CLI_CONFIG_H_
 
 #include <cstdint>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -23,6 +24,7 @@
   std::string name;
   std::string listen_text;
   runtime::Address listen;
+  std::optional<runtime::Address> management;  // none: operators can't call
   std::uint64_t seed = 0;
   std::size_t memory_mb = 0;  // 0 = not told
   std::size_t sockets = 0;    // likewise
@@ -35,6 +37,9 @@
 Config ReadConfig(std::string_view text);
 Config LoadConfig(const std::string& path);
 
+// An address in a configuration; `what` names it in the error.
+runtime::Address ReadAddress(const std::string& text, const char* what);
+
 // Nested JSON as path=value pairs in the form of the simulator's first message.
 settings::Pairs Flatten(const codec::Json& settings);
 
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -4,6 +4,7 @@
 #include <sys/signalfd.h>
 
 #include <algorithm>
+#include <charconv>
 #include <csignal>
 #include <cstring>
 #include <functional>
@@ -13,6 +14,7 @@
 #include "broker/broker.h"
 #include "cli/state.h"
 #include "frontend/frame_server.h"
+#include "management/listener.h"
 #include "membership/directory.h"
 #include "membership/feed.h"
 #include "operator/operator_file.h"
@@ -25,14 +27,18 @@
 using runtime::Task;
 using runtime::Time;
 
-// After SIGTERM: how long new connections, and then requests on open ones, are still served.
+// After SIGTERM, where no successor holds the listening socket: how long new connections, and then requests
+// on open ones, are still served.
 constexpr auto kAcceptFor = 500ms;
 constexpr auto kServeFor = 700ms;
 constexpr auto kDrainBeat = 10ms;
+constexpr auto kFeedFirst = 1000ms;  // for the control feed to answer a process that takes another's place
+constexpr auto kStartBeat = 5ms;
 constexpr auto kStateBeat = 1s;  // of the state file
 
 constexpr std::size_t kSocketsUntold = 1024;
-constexpr std::size_t kOwnDescriptors = 40;  // epoll, signals, log, control feed, those of short calls
+// Epoll, signals, log, control feed, those of short calls; operators and their listening socket.
+constexpr std::size_t kOwnDescriptors = 40 + management::Listener::kCallersMost + 1;
 
 backend::Pool::Limits PoolLimits(const Config& config, std::size_t clients) {
   const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
@@ -144,13 +150,16 @@
   }
 }
 
-// Lets what was taken come to its end.
-Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker) {
+// Lets what was taken come to its end. Who comes meanwhile is another process's where that holds the
+// listening socket too.
+Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker, bool shared) {
+  using Queue = frontend::FrameServer::Queue;
   const Time since = Now();
   spdlog::info("ending: {} requests open", broker.open());
+  if (shared) server.StopAccepting(Queue::kLeave);
   server.AnnounceEnd();
   co_await loop.SleepUntil(since + kAcceptFor);
-  server.StopAccepting();
+  if (!shared) server.StopAccepting(Queue::kLetIn);
   server.AnnounceEnd();  // to those who came meanwhile
   co_await loop.SleepUntil(since + kServeFor);
   broker.Close();
@@ -159,6 +168,26 @@
   loop.Stop();
 }
 
+// In place of another process: clients are let in once this one can serve as well as that one did. What the
+// configuration knows may be old, so the control feed is heard first, if it answers.
+Task<> StartInPlace(runtime::Loop& loop, const membership::Directory& directory, const membership::Feed& feed,
+                    frontend::FrameServer& server, bool& serving) {
+  const Time until = Now() + kFeedFirst;
+  while (!directory.loaded() || (feed.followed() && !feed.heard() && Now() < until))
+    co_await loop.Sleep(kStartBeat);
+  server.Start();
+  serving = true;
+  spdlog::info("serving in place of another process");
+}
+
+int DescriptorNumber(const std::string& text) {
+  int number = -1;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (error != std::errc() || end != text.data() + text.size() || number < 0)
+    throw ConfigError("PROXY_FD: '" + text + "' is no descriptor");
+  return number;
+}
+
 }  // namespace
 
 void HoldSignals() {
@@ -169,6 +198,9 @@
 int RunProxy(const Config& config, const Paths& paths) {
   HoldSignals();
   std::signal(SIGPIPE, SIG_IGN);
+  const bool shared = !paths.inherited.empty();
+  runtime::Descriptor inherited;
+  if (shared) inherited = runtime::InheritedListener(DescriptorNumber(paths.inherited));
   runtime::Loop loop;
   Signals signals(loop);
   membership::Directory directory(config.site);
@@ -180,7 +212,9 @@
   if (file.waiting && config.site.max_open <= 0) request_limits.requests = file.waiting->line.waiting;
   broker::Broker broker(loop, config.site, config.seed, engines, request_limits);
   if (file.waiting) broker.PutLineAhead(file.waiting->line);
-  frontend::FrameServer server(loop, config.listen, config.site, broker, client_limits);
+  auto listener = shared ? std::make_unique<runtime::Listener>(loop, std::move(inherited))
+                         : std::make_unique<runtime::Listener>(loop, config.listen);
+  frontend::FrameServer server(loop, std::move(listener), config.site, broker, client_limits);
   Running running{config.site, config.name, server, broker, ""};
   if (file.waiting) {
     server.set_foretells(file.waiting->tell_clients);
@@ -198,11 +232,27 @@
   loop.Spawn(feed.Run());
   loop.Spawn(engines.pool().CloseIdle());
   broker.Start();
-  server.Start();
+  bool serving = !shared, ending = false;
+  if (shared)
+    loop.Spawn(StartInPlace(loop, directory, feed, server, serving));
+  else
+    server.Start();
+  const auto answer = [&](const management::Call& call) -> management::Reply {
+    if (call.verb != management::Verb::kReadyz) return {false, "not served yet", {}};
+    if (ending) return {false, "ending", {}};
+    return serving && directory.loaded() ? management::Reply{true, "", {}}
+                                         : management::Reply{false, "not ready", {}};
+  };
+  std::unique_ptr<management::Listener> operators;
+  if (config.management) {
+    operators = std::make_unique<management::Listener>(loop, *config.management, answer);
+    loop.Spawn(operators->Run());
+  }
   // Signals that come while one is handled are not lost: the next turn reads them.
   const auto handle_signals = [&]() -> Task<> {
     while (co_await signals.Next() == SIGHUP) Reload(paths, directory, feed, running, tell);
-    co_await End(loop, server, broker);
+    ending = true;
+    co_await End(loop, server, broker, shared);
   };
   loop.Spawn(handle_signals());
   spdlog::info("{} listens on {}", config.name, config.listen_text);
--- a/src/cli/proxy.h
+++ b/src/cli/proxy.h
@@ -14,6 +14,7 @@
 
 struct Paths {
   std::string config, operator_file;  // the latter empty: none
+  std::string inherited;              // $PROXY_FD: the clients' listening socket; empty: it binds its own
 };
 
 // Returns the exit code; `paths` tells where `config` was read, and may be read again. Throws
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -125,18 +125,15 @@
   std::uint32_t stream_;
 };
 
-FrameServer::FrameServer(runtime::Loop& loop, const runtime::Address& listen, const settings::Site& site,
-                         broker::Broker& broker, Limits limits)
-    : loop_(loop),
-      site_(site),
-      broker_(broker),
-      limits_(limits),
-      listener_(std::make_unique<runtime::Listener>(loop, listen)) {}
+FrameServer::FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener,
+                         const settings::Site& site, broker::Broker& broker, Limits limits)
+    : loop_(loop), site_(site), broker_(broker), limits_(limits), listener_(std::move(listener)) {}
 
 FrameServer::~FrameServer() = default;
 
 Task<> FrameServer::AcceptAll() {
   for (int accepted = 1;; ++accepted) {
+    if (stop_accepting_.cancelled() && queue_ == Queue::kLeave) break;
     std::unique_ptr<runtime::Socket> socket;
     const Io io = co_await listener_->Accept(socket, &stop_accepting_);
     if (io == Io::kCancelled) break;
@@ -389,7 +386,10 @@
   }
 }
 
-void FrameServer::StopAccepting() { stop_accepting_.Cancel(); }
+void FrameServer::StopAccepting(Queue queue) {
+  queue_ = queue;
+  stop_accepting_.Cancel();
+}
 
 bool FrameServer::flushed() const {
   return std::all_of(connections_.begin(), connections_.end(), [](const auto& weak) {
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -25,7 +25,7 @@
     std::size_t unparsed_of_all = std::size_t{48} << 20;  // bytes of frames that have not come whole
   };
 
-  FrameServer(runtime::Loop& loop, const runtime::Address& listen, const settings::Site& site,
+  FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener, const settings::Site& site,
               broker::Broker& broker, Limits limits);
   ~FrameServer();
 
@@ -36,9 +36,10 @@
   // Asks the clients of all present connections for no new request on them; is ready no more, whatever a
   // change of the list says later.
   void AnnounceEnd();
-  void StopAccepting();
+  // Lets in those who wait in the listening socket's queue, or leaves them to another process that holds it.
+  enum class Queue { kLetIn, kLeave };
+  void StopAccepting(Queue queue);
   bool flushed() const;  // every answer has been handed to the kernel
-  runtime::Address address() const { return listener_->address(); }
 
  private:
   struct Connection;
@@ -75,6 +76,7 @@
   std::size_t unparsed_ = 0;
   std::size_t turned_away_ = 0;
   runtime::Time told_turned_away_{};
+  Queue queue_ = Queue::kLetIn;
   bool ready_ = false;
   bool foretells_ = false;
   bool ending_ = false;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -34,14 +34,23 @@
   return 0;
 }
 
+std::string Environment(const char* name) {
+  const char* value = std::getenv(name);
+  return value == nullptr ? "" : value;
+}
+
 int Serve(const Options& options) {
   using namespace lemoncroft::cli;
-  return RunProxy(LoadConfig(options.config), {options.config, options.operator_file});
+  Config config = LoadConfig(options.config);
+  // Each process that takes another's place has an address of its own; the file may be shared.
+  const std::string management = Environment("PROXY_MANAGEMENT");
+  if (!management.empty()) config.management = ReadAddress(management, "PROXY_MANAGEMENT");
+  return RunProxy(config, {options.config, options.operator_file, Environment("PROXY_FD")});
 }
 
 int Run(int argc, char** argv) {
   Options options;
-  if (const char* path = std::getenv("PROXY_CONFIG")) options.config = path;
+  options.config = Environment("PROXY_CONFIG");
   CLI::App app("A proxy between clients that send SQL queries and the engines that run them.", "lemoncroft");
   app.set_help_flag("-h,--help", "print this text");
   app.set_version_flag("-V,--version", std::string("lemoncroft ") + kVersion);
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -68,6 +68,7 @@
     } catch (const codec::JsonError& e) {
       spdlog::warn("control feed: {}", e.what());
     }
+    heard_ = heard_ || readable;
     if (!readable || !connection.Reusable()) co_return;
   }
 }
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -18,6 +18,8 @@
       : loop_(loop), directory_(directory), host_port_(std::move(host_port)), tell_(std::move(tell)) {}
 
   runtime::Task<> Run();
+  bool followed() const { return !host_port_.empty(); }
+  bool heard() const { return heard_; }  // it has answered since the start
   // From now on at another address, where the numbers go on; the old one may stay open and tell nothing.
   void MoveTo(std::string host_port);
 
@@ -28,6 +30,7 @@
   Directory& directory_;
   std::string host_port_;  // empty: none is followed
   std::function<void(EngineList)> tell_;
+  bool heard_ = false;
   std::unique_ptr<runtime::Cancellation> moved_ = std::make_unique<runtime::Cancellation>();
 };
 
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -62,6 +62,8 @@
   }
 }
 
+void Loop::Unwatch(int fd) { ::epoll_ctl(epoll_.get(), EPOLL_CTL_DEL, fd, nullptr); }
+
 Task<> Loop::Root(Loop& loop, Task<> task, Roots::iterator self) {
   try {
     co_await task;
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -126,6 +126,8 @@
   Turn NextTurn() { return Turn{*this}; }
 
   void Watch(int fd, Watched* watched);  // edge-triggered, both directions; throws std::system_error
+  // Before the owner of `watched` goes, where another descriptor keeps the socket open.
+  void Unwatch(int fd);
 
  private:
   friend class Waiter;
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -1,6 +1,7 @@
 #include "runtime/socket.h"
 
 #include <arpa/inet.h>
+#include <fcntl.h>
 #include <netinet/tcp.h>
 #include <sys/socket.h>
 
@@ -8,6 +9,7 @@
 #include <array>
 #include <cerrno>
 #include <charconv>
+#include <stdexcept>
 #include <system_error>
 
 namespace lemoncroft::runtime {
@@ -46,6 +48,22 @@
 
 }  // namespace
 
+Descriptor InheritedListener(int number) {
+  const std::string name = "descriptor " + std::to_string(number);
+  if (::fcntl(number, F_GETFD) < 0) throw std::runtime_error(name + " is not open");
+  const auto option = [&](int which) {
+    int value = -1;
+    socklen_t size = sizeof value;
+    return ::getsockopt(number, SOL_SOCKET, which, &value, &size) == 0 ? value : -1;
+  };
+  if (option(SO_DOMAIN) != AF_INET || option(SO_TYPE) != SOCK_STREAM)
+    throw std::runtime_error(name + " is no TCP socket over IPv4");
+  if (option(SO_ACCEPTCONN) != 1) throw std::runtime_error(name + " is a socket that does not listen");
+  ::fcntl(number, F_SETFD, FD_CLOEXEC);
+  ::fcntl(number, F_SETFL, ::fcntl(number, F_GETFL) | O_NONBLOCK);
+  return Descriptor(number);
+}
+
 std::optional<Address> Address::Parse(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos) return std::nullopt;
@@ -96,6 +114,8 @@
   co_return Io::kOk;
 }
 
+void Socket::EndWriting() { ::shutdown(fd_.get(), SHUT_WR); }
+
 bool Socket::Quiet() const {
   char byte = 0;
   return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && WouldBlock(errno);
@@ -124,6 +144,11 @@
 
 Listener::Listener(Loop& loop, const Address& address) : loop_(loop), socket_(loop, Listening(address)) {}
 
+Listener::Listener(Loop& loop, Descriptor listening) : loop_(loop), socket_(loop, std::move(listening)) {}
+
+// Others may hold the socket on: closing this descriptor alone would leave it in the epoll set.
+Listener::~Listener() { loop_.Unwatch(socket_.fd()); }
+
 Task<Io> Listener::Accept(std::unique_ptr<Socket>& out, Cancellation* cancel) {
   for (;;) {
     Descriptor fd(::accept4(socket_.fd(), nullptr, nullptr, SOCK_NONBLOCK | SOCK_CLOEXEC));
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -31,6 +31,8 @@
   Task<Io> Read(std::string& into, std::size_t most, Time deadline, Cancellation* cancel = nullptr);
   // Writes all of `bytes`; `written` counts what the kernel took, also on failure.
   Task<Io> Write(std::string_view bytes, std::size_t& written, Time deadline, Cancellation* cancel = nullptr);
+  // Nothing more will be written: the peer reads an end behind what has been.
+  void EndWriting();
   // True while the peer has neither closed nor sent anything: a pooled connection that is fit for use.
   bool Quiet() const;
   int fd() const { return fd_.get(); }
@@ -47,9 +49,16 @@
 // kRefused, kTimeout, kCancelled, kClosed (unreachable) and kNoDescriptors leave `out` empty.
 Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out);
 
+// The listening socket that this process was started with as that descriptor, made fit for a Listener. Throws
+// std::runtime_error, which says what is wrong, where there is none. Before anything else is opened: what the
+// number names must not be a descriptor of our own.
+Descriptor InheritedListener(int number);
+
 class Listener {
  public:
   Listener(Loop& loop, const Address& address);  // throws std::system_error
+  Listener(Loop& loop, Descriptor listening);    // non-blocking; other processes may hold it too
+  ~Listener();
   // kOk; kCancelled; or kNoDescriptors where the process or the system has no more.
   Task<Io> Accept(std::unique_ptr<Socket>& out, Cancellation* cancel = nullptr);
   Address address() const;  // as bound
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -5,6 +5,7 @@
 #include <poll.h>
 #include <signal.h>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <sys/wait.h>
 #include <unistd.h>
 
@@ -146,7 +147,17 @@
 
   void Send(const Words& words) {
     if (words[2] == "bytes") return SendAll(fd_.get(), words[3]);
-    if (words[2] == "flood") return Flood(std::chrono::milliseconds(std::stoi(words[3])));
+    if (words[2] == "flood") {
+      const auto span = std::chrono::milliseconds(std::stoi(words[3]));
+      if (words.size() == 4) return Flood(span);
+      beside_ = std::jthread([this, span] {
+        try {
+          Flood(span);
+        } catch (const std::runtime_error&) {  // the program ends with the scenario, before the flood does
+        }
+      });
+      return;
+    }
     std::string out;
     if (words[2] == "half") {
       codec::WriteFrame(out, codec::kRequestFrame, 1, std::string(std::stoul(words[3]), 'x'));
@@ -249,6 +260,37 @@
   codec::FrameReader reader_;
   std::string in_;
   bool ended_ = false;
+  std::jthread beside_;  // last: it uses the others
+};
+
+// An operator at the management address: a connection, a call, an answer.
+class Caller {
+ public:
+  explicit Caller(int port) : fd_(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0)) {
+    const sockaddr_in to = Loopback(port);
+    if (::connect(fd_.get(), reinterpret_cast<const sockaddr*>(&to), sizeof to) != 0) Wrong("cannot call");
+  }
+  // `bytes TEXT`, `bytewise TEXT` with a pause behind each byte, or `flood SIZE`, which has no line feed.
+  void Send(const Words& words) {
+    if (words[2] == "flood") return SendAll(fd_.get(), std::string(std::stoul(words.at(3)), 'x'));
+    if (words[2] == "bytes") return SendAll(fd_.get(), words.at(3));
+    for (const char c : words.at(3)) {
+      SendAll(fd_.get(), std::string(1, c));
+      std::this_thread::sleep_for(2ms);
+    }
+  }
+  // All that comes until the end.
+  std::string Answer(std::chrono::milliseconds wait) {
+    std::string in;
+    const auto until = Clock::now() + wait;
+    for (pollfd p{fd_.get(), POLLIN, 0}; ::poll(&p, 1, Left(until)) > 0;) {
+      if (!ReadSome(fd_.get(), in)) return in;
+    }
+    Wrong("the answer has not ended in time; so far: " + in);
+  }
+
+ private:
+  Descriptor fd_;
 };
 
 // An HTTP server that does as the scenario says: an engine, or the control feed.
@@ -367,7 +409,7 @@
 };
 
 constexpr const char* kConfig = R"({"name":"n1","listen":"LISTEN","seed":"8c1f30d27a5be964",
-"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"feed":"FEED","known":KNOWN,
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"management":"MANAGEMENT","feed":"FEED","known":KNOWN,
 "settings":{"siblings":1,"me":0,"zone":0,"dcs":["dc"],"flavors":["std"],"tickNs":5000000,
 "membershipMode":"pushed","requestClasses":[
 {"name":"lookup","promiseNs":600000000,"deadlineNs":3000000000,"credit":1.0,"lateWorth":0.1,
@@ -387,9 +429,10 @@
 class World {
  public:
   ~World() {
-    if (pid_ > 0) {
-      ::kill(pid_, SIGKILL);
-      ::waitpid(pid_, nullptr, 0);
+    for (const pid_t pid : {pid_, old_pid_}) {
+      if (pid <= 0) continue;
+      ::kill(pid, SIGKILL);
+      ::waitpid(pid, nullptr, 0);
     }
     if (!folder_.empty()) std::system(("rm -rf " + folder_).c_str());
   }
@@ -402,6 +445,10 @@
     if (party == "config") return void(config_.emplace_back(w.at(1), w.at(2)));
     if (party == "operator") return void(operator_ = w.at(1));
     if (party == "program") return Program(w);
+    if (party == "listener") return Hold();
+    if (party == "old") return Old(w);
+    if (party.starts_with("ops")) return Operate(party, w, manage_);
+    if (party.starts_with("oldops")) return Operate(party, w, old_manage_);
     const bool send = w.at(1) == "send", expect = w[1] == "expect", close = w[1] == "close";
     if (!send && !expect && !close) Wrong("unknown verb " + w[1]);
     if (IsParser(party)) {
@@ -464,6 +511,7 @@
     Fill(feed);
     Replace(text, "FEED", feed);
     Replace(text, "LISTEN", "127.0.0.1:" + std::to_string(listen_));
+    Replace(text, "MANAGEMENT", "127.0.0.1:" + std::to_string(first_manage_));
     for (auto [key, value] : config_) {
       if (key == "known") continue;
       Fill(value);
@@ -486,13 +534,22 @@
     if (folder_.empty()) {
       char name[] = "/tmp/scenario-XXXXXX";
       folder_ = ::mkdtemp(name);
-      listen_ = Listen().port;  // free a moment ago
+      ::mkdir((folder_ + "/tmp").c_str(), 0700);
+      if (!held_.fd) listen_ = Listen().port;  // free a moment ago
+      manage_ = first_manage_ = Listen().port;
       WriteConfig();
     }
     if (!operator_.empty()) args.insert(args.end(), {"--operator", folder_ + "/operator.kdl"});
     args.insert(args.begin(), LEMONCROFT_PROGRAM);
     pid_ = ::fork();
     if (pid_ != 0) return;
+    ::setenv("TMPDIR", (folder_ + "/tmp").c_str(), 1);
+    if (held_.fd) {
+      ::dup2(held_.fd.get(), 3);
+      ::setenv("PROXY_FD", "3", 1);
+      ::setenv("PROXY_MANAGEMENT", ("127.0.0.1:" + std::to_string(manage_)).c_str(), 1);
+    }
+    for (const auto& [name, value] : environment_) ::setenv(name.c_str(), value.c_str(), 1);
     ::setenv("PROXY_CONFIG", (folder_ + "/config.json").c_str(), 1);
     const int log = ::open((folder_ + "/log").c_str(), O_WRONLY | O_CREAT | O_APPEND, 0600);
     ::dup2(log, 1);
@@ -504,6 +561,58 @@
     ::_exit(127);
   }
 
+  // The platform holds the clients' listening socket: every process inherits it.
+  void Hold() {
+    held_ = Listen();
+    listen_ = held_.port;
+    // Never as descriptor 3 here: dup2 onto itself would leave it closed on exec.
+    held_.fd = Descriptor(::fcntl(held_.fd.get(), F_DUPFD_CLOEXEC, 100));
+  }
+
+  // Starts the program once more while the one that runs serves on.
+  void Succeed(const Words& w) {
+    old_pid_ = std::exchange(pid_, 0);
+    old_manage_ = std::exchange(manage_, Listen().port);
+    WriteConfig();
+    Launch({"serve", "--log-level", "debug"});
+    if (w.size() > 2) return;  // before it is ready
+    Operate("ops", {"ops", "expect", "readyz", "ACK"}, manage_);
+  }
+
+  void Old(const Words& w) {
+    std::swap(pid_, old_pid_);
+    Program(w);
+    std::swap(pid_, old_pid_);
+  }
+
+  // `expect CALL BEGINNING [LINE...]` asks until the answer is so; `send` and `expect answer` keep to one
+  // connection and are not tried again.
+  void Operate(const std::string& party, const Words& w, int port) {
+    if (w.at(1) == "close") return void(callers_.erase(party));
+    if (w[1] == "send") return callers_.try_emplace(party, port).first->second.Send(w);
+    if (w.at(2) == "answer") {
+      const std::string got = callers_.at(party).Answer(1000ms);
+      callers_.erase(party);
+      return Answered(got, w);
+    }
+    for (const auto until = Clock::now() + kPatience;; std::this_thread::sleep_for(20ms)) {
+      try {
+        Caller caller(port);
+        caller.Send({"", "", "bytes", w[2] + "\n"});
+        return Answered(caller.Answer(1000ms), w);
+      } catch (const std::runtime_error&) {
+        if (Clock::now() > until) throw;
+      }
+    }
+  }
+
+  static void Answered(const std::string& got, const Words& w) {
+    if (!got.starts_with(w.at(3))) Wrong("answer: got '" + got + "', expected '" + w[3] + "'");
+    for (std::size_t i = 4; i < w.size(); ++i) {
+      if (("\n" + got).find("\n" + w[i] + "\n") == std::string::npos) Wrong("'" + got + "' lacks " + w[i]);
+    }
+  }
+
   void AwaitReady() {
     for (const auto until = Clock::now() + kPatience;; std::this_thread::sleep_for(10ms)) {
       try {
@@ -533,6 +642,8 @@
       Launch({"serve", "--log-level", w.size() > 2 ? w[2] : "debug"});
       return AwaitReady();
     }
+    if (w[1] == "succeed") return Succeed(w);
+    if (w[1] == "environment") return void(environment_.emplace_back(w.at(2), w.at(3)));
     if (w[1] == "run") return Launch(Words(w.begin() + 2, w.end()));
     if (w[1] == "beside") {  // while another one runs
       const pid_t running = std::exchange(pid_, 0);
@@ -558,11 +669,14 @@
 
   std::map<std::string, Server> servers_;
   std::map<std::string, Client> clients_;
+  std::map<std::string, Caller> callers_;
+  Listening held_;  // without a descriptor: the program binds its own
+  std::vector<std::pair<std::string, std::string>> environment_;
   std::vector<std::pair<std::string, std::string>> config_;
   std::string folder_, parsed_, operator_;
   Clock::time_point clock_ = Clock::now();
-  int listen_ = 0;
-  pid_t pid_ = 0;
+  int listen_ = 0, manage_ = 0, first_manage_ = 0, old_manage_ = 0;
+  pid_t pid_ = 0, old_pid_ = 0;
 };
 
 }  // namespace
