Tell operators the figures, and keep engines out by hand through feed, list and upgrade

Change: counters at the one place where a request, an attempt or a file ends (src/telemetry/); the directory keeps who is out by hand apart from what the feed says, a return counts as a start; marks in $TMPDIR carry it over an upgrade (src/handover/). The module hears of an engine out by hand and answers at once when all are.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -105,7 +105,8 @@
 
 // ---- Events: what the host has learnt since the last step, in order ----
 
-enum class Readiness { kReady, kDraining, kGone };
+// kExcluded: left out by an operator's hand, as if it drained, until the operator says otherwise.
+enum class Readiness { kReady, kDraining, kExcluded, kGone };
 
 struct EngineEntry {
   EngineId engine = 0;
@@ -241,6 +242,8 @@
 
   // Applies all events, then decides once; appends to `actions`.
   void Step(Nanos now, std::span<const Event> events, std::vector<Action>& actions);
+  // Listed engines that it leaves out for a while by its own choice.
+  std::vector<EngineId> Avoided(Nanos now) const;
 
  private:
   class Impl;
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -124,7 +124,12 @@
     if (grant > 0) post.headers.emplace_back("Pool-Mb", std::to_string(grant));
     post.headers.emplace_back("Pool-Rank", std::to_string(attempt.priority));
     post.body = passed.statement;
-    const Io io = co_await query.lease->Call(post, query.Limit(kNewsWithin), &query.cancel, query.response);
+    const runtime::Time until = query.Limit(kNewsWithin);
+    Io io = co_await query.lease->Send(post, until, &query.cancel);
+    if (io == Io::kOk) {
+      counters_.Tried();
+      io = co_await query.lease->Receive(until, &query.cancel, query.response);
+    }
     if (io == Io::kOk && Fits(*query.lease, query.response, 0)) co_return Outcome::kOk;
     if (io == Io::kOk || query.lease->sent_any()) {
       if (io == Io::kCancelled) co_return Outcome::kCancelled;
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -7,6 +7,7 @@
 #include "backend/pool.h"
 #include "broker/request.h"
 #include "lemoncroft/gateway.h"
+#include "telemetry/counters.h"
 
 namespace lemoncroft::backend {
 
@@ -28,9 +29,10 @@
 class Engines {
  public:
   Engines(runtime::Loop& loop, const membership::Directory& directory, Pool::Limits limits,
-          runtime::Span connect_timeout)
+          runtime::Span connect_timeout, telemetry::Counters& counters)
       : loop_(loop),
         directory_(directory),
+        counters_(counters),
         pool_(loop, directory, limits),
         connect_timeout_(connect_timeout) {}
 
@@ -54,6 +56,7 @@
 
   runtime::Loop& loop_;
   const membership::Directory& directory_;
+  telemetry::Counters& counters_;
   Pool pool_;
   runtime::Span connect_timeout_;
 };
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -29,10 +29,11 @@
 }  // namespace
 
 Broker::Broker(runtime::Loop& loop, const settings::Site& site, std::uint64_t seed, backend::Engines& engines,
-               Limits limits)
+               telemetry::Counters& counters, Limits limits)
     : loop_(loop),
       site_(site),
       engines_(engines),
+      counters_(counters),
       limits_(limits),
       host_(loop, site.module, seed, [this](const Action& action) { CarryOut(action); }) {}
 
@@ -51,18 +52,28 @@
   host_.Post(std::move(list));
 }
 
+void Broker::Finish(const std::string& lane, AnswerSink& sink, const Answer& answer) {
+  using telemetry::End;
+  counters_.Ended(lane, answer.verdict == Verdict::kServed    ? End::kOk
+                        : answer.verdict == Verdict::kRefused ? End::kShed
+                                                              : End::kError);
+  sink.Finish(answer);
+}
+
 RequestId Broker::Take(ClientRequest request, std::unique_ptr<AnswerSink> sink) {
+  const std::string& lane = request.passed.lane;
+  counters_.Taken(lane);
   const std::size_t bytes = request.passed.bytes();
   // Refused before the module hears of it: nothing ran, and the process lives.
   if (closed_ || lives_.size() >= limits_.requests || bytes_ + bytes > limits_.bytes) {
-    sink->Finish({Verdict::kRefused, ToSpan(site_.module.max_come_back), {}});
+    Finish(lane, *sink, {Verdict::kRefused, ToSpan(site_.module.max_come_back), {}});
     return 0;
   }
   // An engine knows a query by the client's id alone: under one id two would be taken for each other there. A
   // second one is no request; one behind an end that the engine is still being told may come again.
   if (const auto it = ids_.find(request.passed.id); it != ids_.end()) {
     const bool open = lives_.at(it->second)->sink != nullptr;
-    sink->Finish({open ? Verdict::kFailed : Verdict::kRefused, {}, {}});
+    Finish(lane, *sink, {open ? Verdict::kFailed : Verdict::kRefused, {}, {}});
     return 0;
   }
   const RequestId id = next_id_++;
@@ -70,7 +81,8 @@
     const auto taken = line_->Take(
         {id, request.tenant, request.klass, request.est_work, request.deadline - kLastWord, request.watched});
     if (taken.refused) {
-      sink->Finish({Verdict::kRefused, site_.module.may_advise ? taken.refused->later : Span::zero(), {}});
+      Finish(lane, *sink,
+             {Verdict::kRefused, site_.module.may_advise ? taken.refused->later : Span::zero(), {}});
       return 0;
     }
     if (request.watched) sink->Foretell({taken.estimate.wait, taken.estimate.most});
@@ -95,62 +107,65 @@
 Task<> Broker::Live(LifePtr life) {
   if (!line_) host_.Post(Described(*life));
   const Time guard = life->request.deadline + kGuard;
+  const std::string& lane = life->request.passed.lane;
   for (bool answered = false; !answered;) {
     News news = co_await Next(*life, guard);
-    answered = std::visit(Overloaded{
-                              [&](const Terms& terms) {
-                                ApplyTerms(*life, terms);
-                                return false;
-                              },
-                              [&](const Send& send) {
-                                StartAttempt(life, send);
-                                return false;
-                              },
-                              [&](const Cancel& cancel) {
-                                const auto number = static_cast<std::size_t>(cancel.attempt);
-                                if (number < life->attempts.size()) life->attempts[number]->cancel.Cancel();
-                                return false;
-                              },
-                              [&](const Refuse& refuse) {
-                                life->sink->Finish({Verdict::kRefused, Advice(*life, refuse), {}});
-                                return true;
-                              },
-                              [&](const waiting::Hand&) {
-                                host_.Post(Described(*life));
-                                return false;
-                              },
-                              [&](const TurnedAway& turned) {  // never ran, and the module never heard of it
-                                const Span later = site_.module.may_advise ? turned.later : Span::zero();
-                                life->sink->Finish({Verdict::kRefused, later, {}});
-                                return true;
-                              },
-                              [&](const Foretold& foretold) {
-                                life->sink->Foretell(foretold);
-                                return false;
-                              },
-                              [&](const Fail&) {
-                                life->sink->Finish({Verdict::kFailed, {}, {}});
-                                return true;
-                              },
-                              [&](Ended& ended) {
-                                const bool served = ended.result.outcome == Outcome::kOk;
-                                if (served)
-                                  life->sink->Finish({Verdict::kServed, {}, std::move(ended.result.rows)});
-                                TellEnded(*life, ended, served);
-                                return served;
-                              },
-                              [&](const Abandoned&) {
-                                host_.Post(ClientGone{life->id});
-                                return true;
-                              },
-                              [&](const Overdue&) {
-                                spdlog::warn("request {}: answered by the guard", life->request.passed.id);
-                                life->sink->Finish({Verdict::kFailed, {}, {}});
-                                host_.Post(ClientGone{life->id});
-                                return true;
-                              },
-                          },
-                          news);
+    answered =
+        std::visit(Overloaded{
+                       [&](const Terms& terms) {
+                         ApplyTerms(*life, terms);
+                         return false;
+                       },
+                       [&](const Send& send) {
+                         StartAttempt(life, send);
+                         return false;
+                       },
+                       [&](const Cancel& cancel) {
+                         const auto number = static_cast<std::size_t>(cancel.attempt);
+                         if (number < life->attempts.size()) life->attempts[number]->cancel.Cancel();
+                         return false;
+                       },
+                       [&](const Refuse& refuse) {
+                         Finish(lane, *life->sink, {Verdict::kRefused, Advice(*life, refuse), {}});
+                         return true;
+                       },
+                       [&](const waiting::Hand&) {
+                         host_.Post(Described(*life));
+                         return false;
+                       },
+                       [&](const TurnedAway& turned) {  // never ran, and the module never heard of it
+                         const Span later = site_.module.may_advise ? turned.later : Span::zero();
+                         Finish(lane, *life->sink, {Verdict::kRefused, later, {}});
+                         return true;
+                       },
+                       [&](const Foretold& foretold) {
+                         life->sink->Foretell(foretold);
+                         return false;
+                       },
+                       [&](const Fail&) {
+                         Finish(lane, *life->sink, {Verdict::kFailed, {}, {}});
+                         return true;
+                       },
+                       [&](Ended& ended) {
+                         const bool served = ended.result.outcome == Outcome::kOk;
+                         if (served)
+                           Finish(lane, *life->sink, {Verdict::kServed, {}, std::move(ended.result.rows)});
+                         TellEnded(*life, ended, served);
+                         return served;
+                       },
+                       [&](const Abandoned&) {
+                         counters_.Ended(lane, telemetry::End::kWithdrawn);
+                         host_.Post(ClientGone{life->id});
+                         return true;
+                       },
+                       [&](const Overdue&) {
+                         spdlog::warn("request {}: answered by the guard", life->request.passed.id);
+                         Finish(lane, *life->sink, {Verdict::kFailed, {}, {}});
+                         host_.Post(ClientGone{life->id});
+                         return true;
+                       },
+                   },
+                   news);
   }
   if (line_) line_->Done(life->id);
   --open_;
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -20,6 +20,7 @@
 #include "lemoncroft/gateway.h"
 #include "runtime/loop.h"
 #include "settings/settings.h"
+#include "telemetry/counters.h"
 
 namespace lemoncroft::broker {
 
@@ -31,7 +32,7 @@
   };
 
   Broker(runtime::Loop& loop, const settings::Site& site, std::uint64_t seed, backend::Engines& engines,
-         Limits limits);
+         telemetry::Counters& counters, Limits limits);
 
   // Puts a waiting line ahead of the module; before Start. Without one, requests go to the module as they
   // come.
@@ -45,7 +46,8 @@
   void TellList(EngineList list);
   // From now on new requests are refused: the process is about to end.
   void Close() { closed_ = true; }
-  std::size_t open() const { return open_; }  // requests without a final answer
+  std::vector<EngineId> Avoided() const { return host_.Avoided(); }  // by the module's choice
+  std::size_t open() const { return open_; }                         // requests without a final answer
 
  private:
   struct Ended {
@@ -79,6 +81,8 @@
   };
   using LifePtr = std::shared_ptr<Life>;
 
+  // The one place where a request gets its answer.
+  void Finish(const std::string& lane, AnswerSink& sink, const Answer& answer);
   runtime::Task<> Live(LifePtr life);
   runtime::Task<News> Next(Life& life, runtime::Time guard);
   void StartAttempt(const LifePtr& life, const Send& send);
@@ -96,6 +100,7 @@
   runtime::Loop& loop_;
   const settings::Site& site_;
   backend::Engines& engines_;
+  telemetry::Counters& counters_;
   Limits limits_;
   ModuleHost host_;
   std::unique_ptr<LineHost> line_;
--- /dev/null
+++ b/src/cli/operations.h
@@ -0,0 +1,50 @@
+// What each call of an operator does: the figures, the engines out by hand, whether this process serves.
+#ifndef LEMONCROFT_CLI_OPERATIONS_H_
+#define LEMONCROFT_CLI_OPERATIONS_H_
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "broker/broker.h"
+#include "handover/hand_marks.h"
+#include "management/listener.h"
+#include "membership/directory.h"
+#include "telemetry/counters.h"
+
+namespace lemoncroft::cli {
+
+class Operations {
+ public:
+  enum class Phase { kStarting, kServing, kEnding };
+
+  Operations(runtime::Loop& loop, membership::Directory& directory, broker::Broker& broker,
+             const telemetry::Counters& counters, membership::Directory::Tell tell)
+      : loop_(loop), directory_(directory), broker_(broker), counters_(counters), tell_(std::move(tell)) {}
+
+  management::Reply Answer(const management::Call& call);
+  void set_phase(Phase phase) { phase_ = phase; }
+
+  // From now on engines out by hand are kept in $TMPDIR, for the process that takes this one's place; what
+  // one before has left there holds here. `warm`: how long a returned engine may be cold.
+  void ShareMarks(const std::string& tmpdir, std::chrono::nanoseconds warm);
+  // Keeps to what the other process is told, while there are two.
+  runtime::Task<> FollowMarks();
+
+ private:
+  management::Reply ByHand(const management::Call& call);
+  void TakeOver();
+
+  runtime::Loop& loop_;
+  membership::Directory& directory_;
+  broker::Broker& broker_;
+  const telemetry::Counters& counters_;
+  membership::Directory::Tell tell_;
+  std::unique_ptr<handover::HandMarks> marks_;  // null: not shared
+  std::set<std::string> unkept_;                // out by hand, but without a mark
+  Phase phase_ = Phase::kStarting;
+};
+
+}  // namespace lemoncroft::cli
+
+#endif  // LEMONCROFT_CLI_OPERATIONS_H_
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -6,12 +6,14 @@
 #include <algorithm>
 #include <charconv>
 #include <csignal>
+#include <cstdlib>
 #include <cstring>
 #include <functional>
 #include <system_error>
 
 #include "backend/engines.h"
 #include "broker/broker.h"
+#include "cli/operations.h"
 #include "cli/state.h"
 #include "frontend/frame_server.h"
 #include "management/listener.h"
@@ -117,7 +119,7 @@
 // the budgets of the waiting line. All else belongs to a process's start. Where one of the files can't be
 // used neither changes anything.
 void Reload(const Paths& paths, membership::Directory& directory, membership::Feed& feed, Running& running,
-            const std::function<void(EngineList)>& tell) {
+            telemetry::Counters& counters, const std::function<void(EngineList)>& tell) {
   try {
     Config config = LoadConfig(paths.config);
     op::OperatorFile file = ReadOperator(paths, running.site);
@@ -132,7 +134,9 @@
     directory.Apply(config.known, tell);
     spdlog::info("configuration read again: control feed at {}", config.feed);
     feed.MoveTo(std::move(config.feed));
+    counters.Reloaded(true);
   } catch (const std::exception& e) {
+    counters.Reloaded(false);
     spdlog::error("configuration not taken, the old one stays: {}", e.what());
   }
 }
@@ -171,12 +175,12 @@
 // In place of another process: clients are let in once this one can serve as well as that one did. What the
 // configuration knows may be old, so the control feed is heard first, if it answers.
 Task<> StartInPlace(runtime::Loop& loop, const membership::Directory& directory, const membership::Feed& feed,
-                    frontend::FrameServer& server, bool& serving) {
+                    frontend::FrameServer& server, Operations& operations) {
   const Time until = Now() + kFeedFirst;
   while (!directory.loaded() || (feed.followed() && !feed.heard() && Now() < until))
     co_await loop.Sleep(kStartBeat);
   server.Start();
-  serving = true;
+  operations.set_phase(Operations::Phase::kServing);
   spdlog::info("serving in place of another process");
 }
 
@@ -205,16 +209,18 @@
   Signals signals(loop);
   membership::Directory directory(config.site);
   const auto client_limits = ClientLimits(config);
+  telemetry::Counters counters;
+  for (const std::string& klass : config.site.classes) counters.Know(klass);
   backend::Engines engines(loop, directory, PoolLimits(config, client_limits.connections),
-                           broker::ToSpan(config.site.module.connect_timeout));
+                           broker::ToSpan(config.site.module.connect_timeout), counters);
   op::OperatorFile file = ReadOperator(paths, config.site);
   auto request_limits = RequestLimits(config);
   if (file.waiting && config.site.max_open <= 0) request_limits.requests = file.waiting->line.waiting;
-  broker::Broker broker(loop, config.site, config.seed, engines, request_limits);
+  broker::Broker broker(loop, config.site, config.seed, engines, counters, request_limits);
   if (file.waiting) broker.PutLineAhead(file.waiting->line);
   auto listener = shared ? std::make_unique<runtime::Listener>(loop, std::move(inherited))
                          : std::make_unique<runtime::Listener>(loop, config.listen);
-  frontend::FrameServer server(loop, std::move(listener), config.site, broker, client_limits);
+  frontend::FrameServer server(loop, std::move(listener), config.site, broker, counters, client_limits);
   Running running{config.site, config.name, server, broker, ""};
   if (file.waiting) {
     server.set_foretells(file.waiting->tell_clients);
@@ -227,31 +233,34 @@
     broker.TellList(std::move(list));
     server.set_ready(directory.loaded());
   };
+  Operations operations(loop, directory, broker, counters, tell);
+  const char* tmpdir = std::getenv("TMPDIR");
+  if (shared && tmpdir != nullptr) {
+    operations.ShareMarks(tmpdir,
+                          broker::ToSpan(config.site.module.warm_within + config.site.module.fall_window));
+  }
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
   membership::Feed feed(loop, directory, config.feed, tell);
   loop.Spawn(feed.Run());
   loop.Spawn(engines.pool().CloseIdle());
   broker.Start();
-  bool serving = !shared, ending = false;
-  if (shared)
-    loop.Spawn(StartInPlace(loop, directory, feed, server, serving));
-  else
+  if (shared) {
+    loop.Spawn(StartInPlace(loop, directory, feed, server, operations));
+    loop.Spawn(operations.FollowMarks());
+  } else {
     server.Start();
-  const auto answer = [&](const management::Call& call) -> management::Reply {
-    if (call.verb != management::Verb::kReadyz) return {false, "not served yet", {}};
-    if (ending) return {false, "ending", {}};
-    return serving && directory.loaded() ? management::Reply{true, "", {}}
-                                         : management::Reply{false, "not ready", {}};
-  };
+    operations.set_phase(Operations::Phase::kServing);
+  }
   std::unique_ptr<management::Listener> operators;
   if (config.management) {
-    operators = std::make_unique<management::Listener>(loop, *config.management, answer);
+    operators = std::make_unique<management::Listener>(
+        loop, *config.management, [&](const management::Call& call) { return operations.Answer(call); });
     loop.Spawn(operators->Run());
   }
   // Signals that come while one is handled are not lost: the next turn reads them.
   const auto handle_signals = [&]() -> Task<> {
-    while (co_await signals.Next() == SIGHUP) Reload(paths, directory, feed, running, tell);
-    ending = true;
+    while (co_await signals.Next() == SIGHUP) Reload(paths, directory, feed, running, counters, tell);
+    operations.set_phase(Operations::Phase::kEnding);
     co_await End(loop, server, broker, shared);
   };
   loop.Spawn(handle_signals());
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -126,8 +126,20 @@
 };
 
 FrameServer::FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener,
-                         const settings::Site& site, broker::Broker& broker, Limits limits)
-    : loop_(loop), site_(site), broker_(broker), limits_(limits), listener_(std::move(listener)) {}
+                         const settings::Site& site, broker::Broker& broker, telemetry::Counters& counters,
+                         Limits limits)
+    : loop_(loop),
+      site_(site),
+      broker_(broker),
+      counters_(counters),
+      limits_(limits),
+      listener_(std::move(listener)) {}
+
+void FrameServer::CountEnd(std::string_view klass, telemetry::End how) {
+  if (std::find(site_.classes.begin(), site_.classes.end(), klass) == site_.classes.end()) return;
+  counters_.Taken(std::string(klass));
+  counters_.Ended(std::string(klass), how);
+}
 
 FrameServer::~FrameServer() = default;
 
@@ -320,11 +332,15 @@
   broker::ClientRequest request;
   const auto fields = codec::ReadFields(frame.payload);
   const std::string wrong = fields ? Describe(*fields, request) : "malformed fields";
-  if (!wrong.empty()) return Reject(c, frame.stream, wrong);
+  if (!wrong.empty()) {
+    if (fields) CountEnd(fields->Get("verb"), telemetry::End::kError);
+    return Reject(c, frame.stream, wrong);
+  }
   c.asked = true;
   c.active = Now();
   if (c.streams.size() >= kStreamsMost) {
     ++c.errors;
+    CountEnd(request.passed.lane, telemetry::End::kShed);
     return Append(c, codec::kAnswerFrame, frame.stream, codec::kRefusedCode, {}, "too many open requests");
   }
   c.streams.emplace(frame.stream, 0);
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -13,6 +13,7 @@
 #include "codec/frame.h"
 #include "runtime/socket.h"
 #include "settings/settings.h"
+#include "telemetry/counters.h"
 
 namespace lemoncroft::frontend {
 
@@ -26,7 +27,7 @@
   };
 
   FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener, const settings::Site& site,
-              broker::Broker& broker, Limits limits);
+              broker::Broker& broker, telemetry::Counters& counters, Limits limits);
   ~FrameServer();
 
   void Start() { loop_.Spawn(AcceptAll()); }
@@ -62,12 +63,15 @@
   void Reject(Connection& connection, std::uint32_t stream, std::string_view why);
   void Append(Connection& connection, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
               const codec::FieldViews& fields = {}, std::string_view body = {});
+  // A request that ends here, before the broker has heard of it.
+  void CountEnd(std::string_view klass, telemetry::End how);
   void Abandon(Connection& connection);
   bool Count(Connection& connection);  // its half frame in the total; false: that is too much
 
   runtime::Loop& loop_;
   const settings::Site& site_;
   broker::Broker& broker_;
+  telemetry::Counters& counters_;
   Limits limits_;
   std::unique_ptr<runtime::Listener> listener_;
   runtime::Cancellation stop_accepting_;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -222,6 +222,13 @@
     }
   }
 
+  std::vector<EngineId> Avoided(Nanos now) const {
+    std::vector<EngineId> out;
+    for (const auto& [id, e] : engines_)
+      if (e.listed && e.ejected_until > now) out.push_back(id);
+    return out;
+  }
+
  private:
   const ClassSettings& Class(const Query& q) const { return set_.classes[q.in.klass]; }
   ClassStats& Stats(const Query& q) { return stats_[q.in.klass]; }
@@ -434,6 +441,7 @@
       AdvanceKey(key);
     }
     if (held_.empty()) return;
+    if (AllOutByHand()) return AnswerHeld();
     std::vector<RequestId> sent;
     for (auto& [key, group] : held_) {
       int left = kTries;
@@ -450,6 +458,21 @@
     if (!held_.empty()) held_seen_ = true;
   }
 
+  // Nobody knows when operators will take an engine back: to wait for it would hold up the client for
+  // nothing.
+  bool AllOutByHand() const {
+    bool by_hand = false;
+    for (const auto& [id, e] : engines_) {
+      if (e.listed && e.entry.readiness == Readiness::kReady) return false;
+      by_hand = by_hand || (e.listed && e.entry.readiness == Readiness::kExcluded);
+    }
+    return by_hand;
+  }
+
+  void AnswerHeld() {
+    while (!held_.empty()) Answer(queries_.at(held_.begin()->second.begin()->second));
+  }
+
   // Budget of further attempts, and the window in which a keyed request's repeats are discarded.
   bool MaySendAgain(const Query& q) {
     if (q.sent == 0 || !set_.attempt_budget) return true;
@@ -959,6 +982,8 @@
 Gateway::Gateway(Gateway&&) noexcept = default;
 Gateway& Gateway::operator=(Gateway&&) noexcept = default;
 
+std::vector<EngineId> Gateway::Avoided(Nanos now) const { return impl_->Avoided(now); }
+
 void Gateway::Step(Nanos now, std::span<const Event> events, std::vector<Action>& actions) {
   impl_->Step(now, events, actions);
 }
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -15,6 +15,13 @@
 
 runtime::Task<Io> Connection::Call(const codec::HttpRequest& request, runtime::Time deadline,
                                    runtime::Cancellation* cancel, codec::HttpResponse& out) {
+  const Io io = co_await Send(request, deadline, cancel);
+  if (io != Io::kOk) co_return io;
+  co_return co_await Receive(deadline, cancel, out);
+}
+
+runtime::Task<Io> Connection::Send(const codec::HttpRequest& request, runtime::Time deadline,
+                                   runtime::Cancellation* cancel) {
   sent_any_ = false;
   auto bytes = codec::WriteHead(request, host_);
   if (!bytes) co_return Io::kClosed;
@@ -24,11 +31,8 @@
   std::size_t written = 0;
   const Io io = co_await socket_->Write(*bytes, written, deadline, cancel);
   sent_any_ = written > 0;
-  if (io != Io::kOk) {
-    keep_ = false;  // half a request has gone: nothing else may follow it
-    co_return io;
-  }
-  co_return co_await Receive(deadline, cancel, out);
+  if (io != Io::kOk) keep_ = false;  // half a request has gone: nothing else may follow it
+  co_return io;
 }
 
 runtime::Task<Io> Connection::Receive(runtime::Time deadline, runtime::Cancellation* cancel,
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -16,10 +16,13 @@
   Connection(std::unique_ptr<runtime::Socket> socket, std::string host, codec::HttpParser::Limits limits = {})
       : socket_(std::move(socket)), host_(std::move(host)), limits_(limits), parser_(limits) {}
 
+  // Sends a call; the response is to be received next.
+  runtime::Task<runtime::Io> Send(const codec::HttpRequest& request, runtime::Time deadline,
+                                  runtime::Cancellation* cancel);
   // Sends a call and waits for its response. Once that has begun, the rest of it follows soon or not at all.
   runtime::Task<runtime::Io> Call(const codec::HttpRequest& request, runtime::Time deadline,
                                   runtime::Cancellation* cancel, codec::HttpResponse& out);
-  // Goes on waiting for the response to a call whose wait was cut short.
+  // Waits for the response to a call that was sent, or goes on where a wait was cut short.
   runtime::Task<runtime::Io> Receive(runtime::Time deadline, runtime::Cancellation* cancel,
                                      codec::HttpResponse& out);
 
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -41,7 +41,7 @@
   return member != nullptr && member->entry.readiness == Readiness::kReady;
 }
 
-bool Directory::Apply(const Json& document, const std::function<void(EngineList)>& tell) {
+bool Directory::Apply(const Json& document, const Tell& tell) {
   const Json& events = document["events"];
   if (!events.Is(Json::Kind::kArray)) return false;
   for (const Json& event : events.items) {
@@ -106,7 +106,7 @@
   entry.zone = PlaceOf(json["locality"].text, site_.zones);
   entry.cell = static_cast<std::uint16_t>(json["cell"].Integer());
   const Json& up_since = json["up_since_ms"];
-  entry.started_at = known != nullptr ? known->entry.started_at : 0;
+  entry.started_at = known != nullptr ? known->fed.started_at : 0;
   if (up_since.Is(Json::Kind::kNumber)) {
     entry.started_at =
         broker::ModuleClock::AtUnix(std::chrono::milliseconds(std::max<std::int64_t>(0, up_since.Integer())));
@@ -115,13 +115,79 @@
     Forget(entry.engine);
     return entry;
   }
-  if (known != nullptr && (known->entry.started_at != entry.started_at || known->host_port != host_port)) {
+  if (known != nullptr && (known->fed.started_at != entry.started_at || known->host_port != host_port)) {
     End(entry.engine);
     known = nullptr;
   }
   const std::uint64_t life = known != nullptr ? known->life : ++lives_;
-  members_.insert_or_assign(entry.engine, Member{name, host_port, *address, entry, life});
-  return entry;
+  Member member{name, host_port, *address, entry, entry, life};
+  Mark(member.entry, name);
+  members_.insert_or_assign(entry.engine, member);
+  return member.entry;
+}
+
+void Directory::Mark(EngineEntry& entry, const std::string& id) const {
+  if (out_.contains(id)) entry.readiness = Readiness::kExcluded;
+  if (const auto it = returned_.find(id); it != returned_.end())
+    entry.started_at = std::max(entry.started_at, it->second);
+}
+
+// Tells of one engine anew, after a word of an operator.
+void Directory::Retell(const std::string& id, bool returned, const Tell& tell) {
+  const auto known = ids_.find(id);
+  const auto it = known == ids_.end() ? members_.end() : members_.find(known->second);
+  if (it == members_.end()) return;
+  Member& member = it->second;
+  member.entry = member.fed;
+  Mark(member.entry, id);
+  if (returned) {  // started anew: what is left of its connections is of no use
+    member.life = ++lives_;
+    if (on_ended) on_ended(it->first);
+  }
+  tell({ListKind::kChange, std::make_shared<const std::vector<EngineEntry>>(1, member.entry)});
+}
+
+Directory::ByHand Directory::Exclude(const std::string& id, const Tell& tell) {
+  if (out_.contains(id)) return ByHand::kDone;
+  if (!ids_.contains(id)) return ByHand::kNobody;
+  if (out_.size() >= kOutMost) return ByHand::kTooMany;
+  out_.insert(id);
+  Retell(id, false, tell);
+  return ByHand::kDone;
+}
+
+Directory::ByHand Directory::Include(const std::string& id, UnixTime at, const Tell& tell) {
+  if (out_.erase(id) == 0) return ids_.contains(id) ? ByHand::kDone : ByHand::kNobody;
+  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch());
+  if (ids_.contains(id)) returned_[id] = broker::ModuleClock::AtUnix(since);
+  Retell(id, true, tell);
+  return ByHand::kDone;
+}
+
+void Directory::TakeOver(const std::set<std::string>& out, const std::map<std::string, UnixTime>& returned,
+                         const Tell& tell) {
+  for (const std::string& id : out) {
+    if (out_.size() < kOutMost && out_.insert(id).second) Retell(id, false, tell);
+  }
+  const auto time = [&](const std::string& id) {
+    const auto it = returned.find(id);
+    return it == returned.end() ? std::chrono::system_clock::now() : it->second;
+  };
+  for (const std::string& id : std::set<std::string>(out_)) {
+    if (!out.contains(id)) Include(id, time(id), tell);
+  }
+  if (loaded_) return;  // what follows is of before this process's start
+  for (const auto& [id, at] : returned) {
+    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch());
+    returned_[id] = broker::ModuleClock::AtUnix(since);
+  }
+}
+
+std::size_t Directory::Avoided(const std::vector<EngineId>& avoided) const {
+  return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& m) {
+    return out_.contains(m.second.name) ||
+           std::find(avoided.begin(), avoided.end(), m.first) != avoided.end();
+  }));
 }
 
 void Directory::End(EngineId engine) {
@@ -132,6 +198,7 @@
 void Directory::Forget(EngineId engine) {
   End(engine);
   if (const auto it = names_.find(engine); it != names_.end()) {
+    returned_.erase(it->second);
     ids_.erase(it->second);
     names_.erase(it);
   }
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -225,6 +225,24 @@
   for (const Host::Sent& s : host.sends) EXPECT_EQ(s.engine, s.id <= 10 ? 2u : 3u);
 }
 
+TEST(Rule3, WithEveryEngineOutByHandWhatIsHeldAndWhatComesIsRefusedAtOnce) {
+  Host host(SomeSettings());
+  EngineEntry out = Ready(1), draining = Ready(2);
+  out.readiness = Readiness::kExcluded;
+  draining.readiness = Readiness::kDraining;
+  host.List({draining});
+  host.Step({Ask(1)});
+  EXPECT_FALSE(host.refused.contains(1)) << "the feed's engines come and go by themselves";
+  host.List({out}, ListKind::kChange);
+  EXPECT_TRUE(host.refused.contains(1));
+  host.Step({Ask(2)});
+  EXPECT_TRUE(host.refused.contains(2));
+  EXPECT_EQ(host.advice[2], 2 * kSecond);
+  host.List({Ready(1)}, ListKind::kChange);
+  host.Step({Ask(3)});
+  EXPECT_EQ(host.Attempts(3), 1);
+}
+
 TEST(Rule4, AColdEngineGetsItsShareOfTheBudgetInEveryWindow) {
   Settings s = SomeSettings();
   s.cold_from = 0.3;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -654,7 +654,8 @@
     }
     if (w[1] == "traced") return Traced(w.at(2));
     if (w[1] == "send" && w.at(2) == "HUP") WriteConfig();
-    if (w[1] == "send") return void(::kill(pid_, w.at(2) == "HUP" ? SIGHUP : SIGTERM));
+    if (w[1] == "send")
+      return void(::kill(pid_, w.at(2) == "HUP" ? SIGHUP : w[2] == "KILL" ? SIGKILL : SIGTERM));
     if (w[1] != "expect") Wrong("unknown verb " + w[1]);
     int status = 0;
     const auto until = Clock::now() + kPatience;
