Put new settings in force at SIGHUP, whole or not at all, with requests under way

Change: checks of form, keys, kinds and figures before anything is touched; numbered slots for classes and tenants, so that requests under way keep theirs (src/settings/succession.h); the module takes Retuned, and answers what has used up the attempts now allowed. Members of the list are numbered anew.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -45,6 +45,8 @@
   bool blocked_by_loads = false;     // stands still while a load holds its table group
   std::vector<std::uint16_t> zones;  // placement: the only zones allowed; empty = any
   std::vector<std::uint16_t> kinds;  // placement: the only kinds allowed; empty = any
+
+  bool operator==(const ClassSettings&) const = default;
 };
 
 struct TenantSettings {
@@ -191,8 +193,15 @@
   std::uint64_t token = 0;
 };
 
-using Event = std::variant<EngineList, Request, AttemptEnded, StreamStarted, ClientGone, Note, Probed,
-                           PeerMessage, TimerFired>;
+// New settings while requests are under way. Those keep the class and tenant that they came with: what has
+// such a number keeps its figures. A class that is new under its number may start with another's estimates.
+struct Retuned {
+  std::shared_ptr<const Settings> settings;
+  std::vector<int> like;  // for each class, the one before whose estimates it starts with; -1: none
+};
+
+using Event = std::variant<Retuned, EngineList, Request, AttemptEnded, StreamStarted, ClientGone, Note,
+                           Probed, PeerMessage, TimerFired>;
 
 // ---- Actions: to be carried out in the order given, at the time of the step ----
 
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -43,6 +43,7 @@
   runtime::Task<Outcome> Probe(EngineId engine);
 
   Pool& pool() { return pool_; }
+  void set_connect_timeout(runtime::Span span) { connect_timeout_ = span; }
 
  private:
   struct Query;
--- a/src/backend/pool.h
+++ b/src/backend/pool.h
@@ -55,6 +55,7 @@
   // none to spare.
   runtime::Task<runtime::Io> Acquire(EngineId engine, runtime::Time deadline, runtime::Cancellation* cancel,
                                      Lease& out, Want want = Want::kAny);
+  void set_idle(runtime::Span idle) { limits_.idle = idle; }
   void Drop(EngineId engine);  // its idle connections
   runtime::Task<> CloseIdle();
 
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -28,17 +28,17 @@
 
 }  // namespace
 
-Broker::Broker(runtime::Loop& loop, const settings::Site& site, std::uint64_t seed, backend::Engines& engines,
-               telemetry::Counters& counters, Limits limits)
+Broker::Broker(runtime::Loop& loop, const settings::InForce& site, std::uint64_t seed,
+               backend::Engines& engines, telemetry::Counters& counters, Limits limits)
     : loop_(loop),
       site_(site),
       engines_(engines),
       counters_(counters),
       limits_(limits),
-      host_(loop, site.module, seed, [this](const Action& action) { CarryOut(action); }) {}
+      host_(loop, site->module, seed, [this](const Action& action) { CarryOut(action); }) {}
 
 void Broker::PutLineAhead(waiting::Settings settings) {
-  line_ = std::make_unique<LineHost>(loop_, std::move(settings), site_.module.kinds,
+  line_ = std::make_unique<LineHost>(loop_, std::move(settings), site_->module.kinds,
                                      [this](const waiting::Decision& decision) { CarryOut(decision); });
 }
 
@@ -52,6 +52,22 @@
   host_.Post(std::move(list));
 }
 
+void Broker::Retune(std::vector<int> like, std::size_t requests) {
+  limits_.requests = requests;
+  const auto site = site_.snapshot();
+  if (line_) line_->set_kinds(site->module.kinds);
+  host_.Retune({std::shared_ptr<const Settings>(site, &site->module), std::move(like)});
+}
+
+settings::Used Broker::used() const {
+  settings::Used used;
+  for (const auto& [id, life] : lives_) {
+    used.classes.insert(life->request.klass);
+    used.tenants.insert(life->request.tenant);
+  }
+  return used;
+}
+
 void Broker::Finish(const std::string& lane, AnswerSink& sink, const Answer& answer) {
   using telemetry::End;
   counters_.Ended(lane, answer.verdict == Verdict::kServed    ? End::kOk
@@ -66,7 +82,7 @@
   const std::size_t bytes = request.passed.bytes();
   // Refused before the module hears of it: nothing ran, and the process lives.
   if (closed_ || lives_.size() >= limits_.requests || bytes_ + bytes > limits_.bytes) {
-    Finish(lane, *sink, {Verdict::kRefused, ToSpan(site_.module.max_come_back), {}});
+    Finish(lane, *sink, {Verdict::kRefused, ToSpan(site_->module.max_come_back), {}});
     return 0;
   }
   // An engine knows a query by the client's id alone: under one id two would be taken for each other there. A
@@ -82,7 +98,7 @@
         {id, request.tenant, request.klass, request.est_work, request.deadline - kLastWord, request.watched});
     if (taken.refused) {
       Finish(lane, *sink,
-             {Verdict::kRefused, site_.module.may_advise ? taken.refused->later : Span::zero(), {}});
+             {Verdict::kRefused, site_->module.may_advise ? taken.refused->later : Span::zero(), {}});
       return 0;
     }
     if (request.watched) sink->Foretell({taken.estimate.wait, taken.estimate.most});
@@ -134,7 +150,7 @@
                          return false;
                        },
                        [&](const TurnedAway& turned) {  // never ran, and the module never heard of it
-                         const Span later = site_.module.may_advise ? turned.later : Span::zero();
+                         const Span later = site_->module.may_advise ? turned.later : Span::zero();
                          Finish(lane, *life->sink, {Verdict::kRefused, later, {}});
                          return true;
                        },
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -20,6 +20,7 @@
 #include "lemoncroft/gateway.h"
 #include "runtime/loop.h"
 #include "settings/settings.h"
+#include "settings/succession.h"
 #include "telemetry/counters.h"
 
 namespace lemoncroft::broker {
@@ -31,7 +32,7 @@
     std::size_t bytes = std::size_t{48} << 20;  // that they hold
   };
 
-  Broker(runtime::Loop& loop, const settings::Site& site, std::uint64_t seed, backend::Engines& engines,
+  Broker(runtime::Loop& loop, const settings::InForce& site, std::uint64_t seed, backend::Engines& engines,
          telemetry::Counters& counters, Limits limits);
 
   // Puts a waiting line ahead of the module; before Start. Without one, requests go to the module as they
@@ -44,6 +45,9 @@
   // Nobody waits for the answer any more: none will be given.
   void Abandon(RequestId id);
   void TellList(EngineList list);
+  // New settings are in force; `like` as in Retuned.
+  void Retune(std::vector<int> like, std::size_t requests);
+  settings::Used used() const;  // by requests under way
   // From now on new requests are refused: the process is about to end.
   void Close() { closed_ = true; }
   std::vector<EngineId> Avoided() const { return host_.Avoided(); }  // by the module's choice
@@ -98,7 +102,7 @@
   Event Described(const Life& life) const;
 
   runtime::Loop& loop_;
-  const settings::Site& site_;
+  const settings::InForce& site_;
   backend::Engines& engines_;
   telemetry::Counters& counters_;
   Limits limits_;
--- a/src/broker/line_host.h
+++ b/src/broker/line_host.h
@@ -23,6 +23,7 @@
 
   runtime::Task<> Run();
   void TellList(const EngineList& list);
+  void set_kinds(std::vector<KindSettings> kinds) { kinds_ = std::move(kinds); }
   void Configure(waiting::Settings settings);
 
   waiting::Line::Taken Take(const waiting::Ticket& ticket);
--- a/src/broker/module_host.cpp
+++ b/src/broker/module_host.cpp
@@ -42,6 +42,11 @@
   work_.Open();
 }
 
+void ModuleHost::Retune(Retuned retuned) {
+  tick_ = ToSpan(retuned.settings->tick);
+  Post(std::move(retuned));
+}
+
 runtime::Task<> ModuleHost::Run() {
   for (;;) {
     while (events_.empty() && (timers_.empty() || timers_.top().first > runtime::Now())) {
--- a/src/broker/module_host.h
+++ b/src/broker/module_host.h
@@ -25,6 +25,7 @@
         carry_out_(std::move(carry_out)) {}
 
   void Post(Event event);
+  void Retune(Retuned retuned);
   std::vector<EngineId> Avoided() const { return gateway_.Avoided(clock_.At(runtime::Now())); }
   runtime::Task<> Run();
 
--- a/src/cli/config.h
+++ b/src/cli/config.h
@@ -3,6 +3,7 @@
 #define LEMONCROFT_CLI_CONFIG_H_
 
 #include <cstdint>
+#include <map>
 #include <optional>
 #include <stdexcept>
 #include <string>
@@ -24,6 +25,7 @@
   std::string name;
   std::string listen_text;
   runtime::Address listen;
+  std::string management_text;
   std::optional<runtime::Address> management;  // none: operators can't call
   std::uint64_t seed = 0;
   std::size_t memory_mb = 0;  // 0 = not told
@@ -31,12 +33,20 @@
   std::string feed;           // empty: none is followed
   codec::Json known;          // the control feed's events up to now
   settings::Site site;
+  // Where each value of the file stands, in the way of settings.requestClasses[].deadlineNs, and of what kind
+  // it is. Of the members of a list, what all have.
+  std::map<std::string, codec::Json::Kind> shape;
 };
 
 // Throws ConfigError.
 Config ReadConfig(std::string_view text);
 Config LoadConfig(const std::string& path);
 
+// What a file must be beyond that for a process that runs to take it: figures in range, and, with the one in
+// force at hand, every key that this has, with a value of the same kind. Throws ConfigError.
+void CheckFigures(const Config& config);
+void CheckShape(const Config& config, const Config& in_force);
+
 // An address in a configuration; `what` names it in the error.
 runtime::Address ReadAddress(const std::string& text, const char* what);
 
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -36,19 +36,23 @@
 constexpr auto kDrainBeat = 10ms;
 constexpr auto kFeedFirst = 1000ms;  // for the control feed to answer a process that takes another's place
 constexpr auto kStartBeat = 5ms;
+constexpr auto kTidyBeat = 1s;   // of what reloads have left
 constexpr auto kStateBeat = 1s;  // of the state file
 
 constexpr std::size_t kSocketsUntold = 1024;
 // Epoll, signals, log, control feed, those of short calls; operators and their listening socket.
 constexpr std::size_t kOwnDescriptors = 40 + management::Listener::kCallersMost + 1;
 
+// Well before the engine closes it: a statement must not cross a close.
+runtime::Span IdleFor(const settings::Site& site) {
+  return broker::ToSpan(site.keepalive > 0 ? site.keepalive : Nanos{5'000'000'000}) * 3 / 4;
+}
+
 backend::Pool::Limits PoolLimits(const Config& config, std::size_t clients) {
   const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
   backend::Pool::Limits limits;
   limits.connections = std::max<std::size_t>(16, sockets - std::min(sockets, clients + kOwnDescriptors));
-  // Well before the engine closes it: a statement must not cross a close.
-  limits.idle =
-      broker::ToSpan(config.site.keepalive > 0 ? config.site.keepalive : Nanos{5'000'000'000}) * 3 / 4;
+  limits.idle = IdleFor(config.site);
   return limits;
 }
 
@@ -63,11 +67,14 @@
   return limits;
 }
 
-broker::Broker::Limits RequestLimits(const Config& config) {
+// `most`: where the settings name no number.
+std::size_t MostRequests(const settings::Site& site, std::size_t most) {
+  return site.max_open > 0 ? std::min(most, static_cast<std::size_t>(site.max_open)) : most;
+}
+
+broker::Broker::Limits RequestLimits(const Config& config, std::size_t most) {
   broker::Broker::Limits limits;
-  if (config.site.max_open > 0) {
-    limits.requests = std::min(limits.requests, static_cast<std::size_t>(config.site.max_open));
-  }
+  limits.requests = MostRequests(config.site, most);
   if (config.memory_mb > 0) limits.bytes = (config.memory_mb << 20) / 8;
   return limits;
 }
@@ -108,46 +115,93 @@
 
 // What a reload may change.
 struct Running {
-  const settings::Site& site;
-  std::string name;
+  Config config;  // in force, but for its site
+  settings::InForce& site;
   frontend::FrameServer& server;
   broker::Broker& broker;
+  backend::Engines& engines;
+  membership::Directory& directory;
+  membership::Feed& feed;
+  telemetry::Counters& counters;
+  membership::Directory::Tell tell;
+  std::size_t most;   // requests open, where the settings name no number
   std::string state;  // file; empty: none
 };
 
-// What new files change while the process runs: the control feed's address, events it knows that are new, and
-// the budgets of the waiting line. All else belongs to a process's start. Where one of the files can't be
-// used neither changes anything.
-void Reload(const Paths& paths, membership::Directory& directory, membership::Feed& feed, Running& running,
-            telemetry::Counters& counters, const std::function<void(EngineList)>& tell) {
+void PutInForce(Running& running, settings::Succession succession) {
+  running.site.Replace(std::move(succession.site));
+  running.broker.Retune(std::move(succession.like), MostRequests(*running.site, running.most));
+  running.directory.Renumber(running.tell);
+  running.engines.set_connect_timeout(broker::ToSpan(running.site->module.connect_timeout));
+  running.engines.pool().set_idle(IdleFor(*running.site));
+  for (const std::string& klass : running.site->classes)
+    if (!klass.empty()) running.counters.Know(klass);
+}
+
+// A process is started with these for good.
+void TellWhatStays(const Config& now, const Config& before) {
+  const std::pair<const char*, bool> parts[] = {
+      {"name", now.name == before.name},
+      {"listen", now.listen_text == before.listen_text},
+      {"management", now.management_text == before.management_text},
+      {"limits", now.memory_mb == before.memory_mb && now.sockets == before.sockets}};
+  for (const auto& [part, same] : parts)
+    if (!same) spdlog::warn("configuration: {} changes by a start only; it stays as it was", part);
+}
+
+// What new files change while the process runs: the settings, the control feed's address, events it knows
+// that are new, and the budgets of the waiting line. All of it is checked before anything is touched; where
+// something can't be used nothing changes.
+void Reload(const Paths& paths, Running& running) {
   try {
     Config config = LoadConfig(paths.config);
-    op::OperatorFile file = ReadOperator(paths, running.site);
+    try {
+      CheckFigures(config);
+      CheckShape(config, running.config);
+    } catch (const ConfigError& e) {
+      throw ConfigError(paths.config + ": " + e.what());
+    }
+    settings::Succession succession = Succeed(*running.site, config.site, running.broker.used());
+    op::OperatorFile file = ReadOperator(paths, succession.site);
     if (file.waiting.has_value() != (running.broker.line() != nullptr))
       throw ConfigError(paths.operator_file + ": waiting is switched on and off by a restart only");
+    TellWhatStays(config, running.config);
+    PutInForce(running, std::move(succession));
     if (file.waiting) {
       running.broker.line()->Configure(std::move(file.waiting->line));
       running.server.set_foretells(file.waiting->tell_clients);
       running.state = std::move(file.waiting->state);
       spdlog::info("operator's file read again: {}", paths.operator_file);
     }
-    directory.Apply(config.known, tell);
-    spdlog::info("configuration read again: control feed at {}", config.feed);
-    feed.MoveTo(std::move(config.feed));
-    counters.Reloaded(true);
+    running.directory.Apply(config.known, running.tell);
+    spdlog::info("configuration read again: {} classes, control feed at {}", config.site.classes.size(),
+                 config.feed);
+    running.feed.MoveTo(config.feed);
+    running.config = std::move(config);
+    running.counters.Reloaded(true);
   } catch (const std::exception& e) {
-    counters.Reloaded(false);
+    running.counters.Reloaded(false);
     spdlog::error("configuration not taken, the old one stays: {}", e.what());
   }
 }
 
+// Frees the numbers of classes and tenants that were kept for requests under way, once these have ended.
+Task<> Tidy(runtime::Loop& loop, Running& running) {
+  for (;; co_await loop.Sleep(kTidyBeat)) {
+    if (!settings::HasRetired(*running.site)) continue;
+    settings::Succession now =
+        Succeed(*running.site, settings::WithoutRetired(*running.site), running.broker.used());
+    if (now.site.module.classes != running.site->module.classes) PutInForce(running, std::move(now));
+  }
+}
+
 // Keeps the state file up to date, once a second.
 Task<> WriteState(runtime::Loop& loop, Running& running) {
   bool told = false;
   for (;; co_await loop.Sleep(kStateBeat)) {
     if (running.state.empty()) continue;
     const bool written =
-        ReplaceFile(running.state, StateText(running.name, running.broker.line()->Describe()));
+        ReplaceFile(running.state, StateText(running.config.name, running.broker.line()->Describe()));
     if (!written && !told)
       spdlog::warn("the state can't be written to {}: {}", running.state, std::strerror(errno));
     told = !written;
@@ -207,26 +261,20 @@
   if (shared) inherited = runtime::InheritedListener(DescriptorNumber(paths.inherited));
   runtime::Loop loop;
   Signals signals(loop);
-  membership::Directory directory(config.site);
+  settings::InForce site(config.site);
+  membership::Directory directory(site);
   const auto client_limits = ClientLimits(config);
   telemetry::Counters counters;
-  for (const std::string& klass : config.site.classes) counters.Know(klass);
+  for (const std::string& klass : site->classes) counters.Know(klass);
   backend::Engines engines(loop, directory, PoolLimits(config, client_limits.connections),
-                           broker::ToSpan(config.site.module.connect_timeout), counters);
-  op::OperatorFile file = ReadOperator(paths, config.site);
-  auto request_limits = RequestLimits(config);
-  if (file.waiting && config.site.max_open <= 0) request_limits.requests = file.waiting->line.waiting;
-  broker::Broker broker(loop, config.site, config.seed, engines, counters, request_limits);
+                           broker::ToSpan(site->module.connect_timeout), counters);
+  op::OperatorFile file = ReadOperator(paths, *site);
+  const std::size_t most = file.waiting ? file.waiting->line.waiting : broker::Broker::Limits().requests;
+  broker::Broker broker(loop, site, config.seed, engines, counters, RequestLimits(config, most));
   if (file.waiting) broker.PutLineAhead(file.waiting->line);
   auto listener = shared ? std::make_unique<runtime::Listener>(loop, std::move(inherited))
                          : std::make_unique<runtime::Listener>(loop, config.listen);
-  frontend::FrameServer server(loop, std::move(listener), config.site, broker, counters, client_limits);
-  Running running{config.site, config.name, server, broker, ""};
-  if (file.waiting) {
-    server.set_foretells(file.waiting->tell_clients);
-    running.state = file.waiting->state;
-    loop.Spawn(WriteState(loop, running));
-  }
+  frontend::FrameServer server(loop, std::move(listener), site, broker, counters, client_limits);
   directory.on_ended = [&](EngineId engine) { engines.pool().Drop(engine); };
 
   const auto tell = [&](EngineList list) {
@@ -235,14 +283,19 @@
   };
   Operations operations(loop, directory, broker, counters, tell);
   const char* tmpdir = std::getenv("TMPDIR");
-  if (shared && tmpdir != nullptr) {
-    operations.ShareMarks(tmpdir,
-                          broker::ToSpan(config.site.module.warm_within + config.site.module.fall_window));
-  }
+  if (shared && tmpdir != nullptr)
+    operations.ShareMarks(tmpdir, broker::ToSpan(site->module.warm_within + site->module.fall_window));
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
   membership::Feed feed(loop, directory, config.feed, tell);
+  Running running{config, site, server, broker, engines, directory, feed, counters, tell, most, ""};
+  if (file.waiting) {
+    server.set_foretells(file.waiting->tell_clients);
+    running.state = file.waiting->state;
+    loop.Spawn(WriteState(loop, running));
+  }
   loop.Spawn(feed.Run());
   loop.Spawn(engines.pool().CloseIdle());
+  loop.Spawn(Tidy(loop, running));
   broker.Start();
   if (shared) {
     loop.Spawn(StartInPlace(loop, directory, feed, server, operations));
@@ -259,7 +312,7 @@
   }
   // Signals that come while one is handled are not lost: the next turn reads them.
   const auto handle_signals = [&]() -> Task<> {
-    while (co_await signals.Next() == SIGHUP) Reload(paths, directory, feed, running, counters, tell);
+    while (co_await signals.Next() == SIGHUP) Reload(paths, running);
     operations.set_phase(Operations::Phase::kEnding);
     co_await End(loop, server, broker, shared);
   };
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -126,7 +126,7 @@
 };
 
 FrameServer::FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener,
-                         const settings::Site& site, broker::Broker& broker, telemetry::Counters& counters,
+                         const settings::InForce& site, broker::Broker& broker, telemetry::Counters& counters,
                          Limits limits)
     : loop_(loop),
       site_(site),
@@ -136,7 +136,7 @@
       listener_(std::move(listener)) {}
 
 void FrameServer::CountEnd(std::string_view klass, telemetry::End how) {
-  if (std::find(site_.classes.begin(), site_.classes.end(), klass) == site_.classes.end()) return;
+  if (!site_->ClassOf(klass)) return;
   counters_.Taken(std::string(klass));
   counters_.Ended(std::string(klass), how);
 }
@@ -351,17 +351,14 @@
 }
 
 std::string FrameServer::Describe(const codec::Fields& fields, broker::ClientRequest& out) const {
-  const auto index = [](const std::vector<std::string>& names, std::string_view name) {
-    return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
-  };
   const std::string_view verb = fields.Get("verb");
-  const std::size_t klass = index(site_.classes, verb);
-  if (klass >= site_.classes.size()) return "unknown class";
+  const auto klass = site_->ClassOf(verb);
+  if (!klass) return "unknown class";
   const std::string_view team = fields.Get("team");
-  const std::size_t tenant = index(site_.tenants, team);
-  if (tenant >= site_.tenants.size()) return "unknown tenant";
+  const auto tenant = site_->TenantOf(team);
+  if (!tenant) return "unknown tenant";
   if (!IsId(fields.Get("txn"))) return "unusable txn";
-  const ClassSettings& rules = site_.module.classes[klass];
+  const ClassSettings& rules = site_->module.classes[*klass];
   const std::string_view key = fields.Get("unique");
   if ((!key.empty() || rules.effect == Effect::kKeyed) && !IsKey(key)) return "unusable unique";
   if (fields.body.empty()) return "no statement";
@@ -372,13 +369,13 @@
   };
   const double deadline_ms = static_cast<double>(rules.deadline) / 1e6;
   double memory = 0;
-  for (const KindSettings& kind : site_.module.kinds) memory = std::max(memory, kind.memory_mb);
+  for (const KindSettings& kind : site_->module.kinds) memory = std::max(memory, kind.memory_mb);
   const auto limit = figure("limit", deadline_ms, kLimitMost * deadline_ms);
   const auto cpu = figure("cpu", 0, kWorkMost * deadline_ms);
   const auto heap = figure("heap_mb", 0, kMemoryMost * memory);
   if (!limit || !cpu || !heap) return "figure unreadable or out of range";
-  out.klass = static_cast<std::uint16_t>(klass);
-  out.tenant = static_cast<std::uint16_t>(tenant);
+  out.klass = *klass;
+  out.tenant = *tenant;
   out.deadline = Now() + FromMs(*limit);
   out.est_work = FromMs(*cpu);
   out.est_memory_mb = *heap;
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -26,7 +26,7 @@
     std::size_t unparsed_of_all = std::size_t{48} << 20;  // bytes of frames that have not come whole
   };
 
-  FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener, const settings::Site& site,
+  FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener, const settings::InForce& site,
               broker::Broker& broker, telemetry::Counters& counters, Limits limits);
   ~FrameServer();
 
@@ -69,7 +69,7 @@
   bool Count(Connection& connection);  // its half frame in the total; false: that is too much
 
   runtime::Loop& loop_;
-  const settings::Site& site_;
+  const settings::InForce& site_;
   broker::Broker& broker_;
   telemetry::Counters& counters_;
   Limits limits_;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -12,6 +12,7 @@
 #include <random>
 #include <set>
 #include <unordered_map>
+#include <utility>
 
 namespace lemoncroft {
 namespace {
@@ -195,15 +196,7 @@
 
 class Gateway::Impl {
  public:
-  Impl(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) {
-    set_.gateways = std::max(1, set_.gateways);
-    stats_.resize(set_.classes.size());
-    tenants_.resize(set_.tenants.size());
-    for (std::size_t i = 0; i < stats_.size(); ++i) {
-      loads_block_ = loads_block_ || set_.classes[i].blocked_by_loads;
-      stats_[i].work = Seconds(set_.classes[i].aim) / 3 * set_.classes[i].threads;  // an aim leaves some room
-    }
-  }
+  Impl(Settings settings, std::uint64_t seed) : set_(std::move(settings)), random_(seed) { TakeSettings({}); }
 
   void Step(Nanos now, std::span<const Event> events, std::vector<Action>& actions) {
     const bool first = now_ < 0;
@@ -234,6 +227,35 @@
   ClassStats& Stats(const Query& q) { return stats_[q.in.klass]; }
   double Random() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
 
+  // ---- Settings ----
+
+  void TakeSettings(const std::vector<int>& like) {
+    set_.gateways = std::max(1, set_.gateways);
+    tenants_.resize(set_.tenants.size());
+    loads_block_ = false;
+    const std::vector<ClassStats> before = std::exchange(stats_, {});
+    for (std::size_t i = 0; i < set_.classes.size(); ++i) {
+      const ClassSettings& c = set_.classes[i];
+      loads_block_ = loads_block_ || c.blocked_by_loads;
+      const std::size_t from =
+          i < like.size() && like[i] >= 0 ? static_cast<std::size_t>(like[i]) : before.size();
+      stats_.push_back(from < before.size() ? before[from] : ClassStats());
+      if (from >= before.size()) stats_[i].work = Seconds(c.aim) / 3 * c.threads;  // an aim leaves some room
+    }
+  }
+
+  // What has used up the attempts now allowed, and waits for another, has its answer.
+  void On(const Retuned& retuned) {
+    if (!retuned.settings) return;
+    set_ = *retuned.settings;
+    TakeSettings(retuned.like);
+    std::vector<RequestId> spent;
+    for (const auto& [key, group] : held_)
+      for (const auto& [work, id] : group)
+        if (queries_.at(id).sent >= std::max(1, set_.max_attempts)) spent.push_back(id);
+    for (RequestId id : spent) Answer(queries_.at(id));
+  }
+
   // ---- The engine list ----
 
   void On(const EngineList& list) {
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -27,6 +27,11 @@
 int CheckConfig(const Options& options) {
   using namespace lemoncroft;
   const cli::Config config = cli::LoadConfig(options.config);
+  try {
+    cli::CheckFigures(config);
+  } catch (const cli::ConfigError& e) {
+    throw cli::ConfigError(options.config + ": " + e.what());
+  }
   if (!options.operator_file.empty()) op::LoadOperatorFile(options.operator_file, config.site);
   std::printf("%s: good: %s on %s, %zu classes\n", options.config.c_str(), config.name.c_str(),
               config.listen_text.c_str(), config.site.classes.size());
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -102,8 +102,8 @@
   entry.readiness = phase == "Ready"  ? Readiness::kReady
                     : phase == "Gone" ? Readiness::kGone
                                       : Readiness::kDraining;
-  entry.kind = PlaceOf(json["flavor"].text, site_.kinds);
-  entry.zone = PlaceOf(json["locality"].text, site_.zones);
+  entry.kind = PlaceOf(json["flavor"].text, site_->kinds);
+  entry.zone = PlaceOf(json["locality"].text, site_->zones);
   entry.cell = static_cast<std::uint16_t>(json["cell"].Integer());
   const Json& up_since = json["up_since_ms"];
   entry.started_at = known != nullptr ? known->fed.started_at : 0;
@@ -120,12 +120,23 @@
     known = nullptr;
   }
   const std::uint64_t life = known != nullptr ? known->life : ++lives_;
-  Member member{name, host_port, *address, entry, entry, life};
+  Member member{name, host_port, *address, json["flavor"].text, json["locality"].text, entry, entry, life};
   Mark(member.entry, name);
   members_.insert_or_assign(entry.engine, member);
   return member.entry;
 }
 
+void Directory::Renumber(const Tell& tell) {
+  std::vector<EngineEntry> entries;
+  for (auto& [id, member] : members_) {
+    member.fed.kind = member.entry.kind = PlaceOf(member.kind, site_->kinds);
+    member.fed.zone = member.entry.zone = PlaceOf(member.zone, site_->zones);
+    entries.push_back(member.entry);
+  }
+  if (!entries.empty())
+    tell({ListKind::kChange, std::make_shared<const std::vector<EngineEntry>>(std::move(entries))});
+}
+
 void Directory::Mark(EngineEntry& entry, const std::string& id) const {
   if (out_.contains(id)) entry.readiness = Readiness::kExcluded;
   if (const auto it = returned_.find(id); it != returned_.end())
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -23,6 +23,7 @@
   std::string name;
   std::string host_port;
   runtime::Address address;
+  std::string kind, zone;
   EngineEntry fed;         // as the control feed tells it
   EngineEntry entry;       // as it counts here: also by what operators have said
   std::uint64_t life = 0;  // changes with every new start and address
@@ -30,7 +31,7 @@
 
 class Directory {
  public:
-  explicit Directory(const settings::Site& site) : site_(site) {}
+  explicit Directory(const settings::InForce& site) : site_(site) {}
 
   using Tell = std::function<void(EngineList)>;
   using UnixTime = std::chrono::system_clock::time_point;
@@ -40,6 +41,9 @@
   // means for the module to `tell`. Returns false where the document is not of that form.
   bool Apply(const codec::Json& document, const Tell& tell);
 
+  // New settings are in force: tells all engines again, with their kinds and zones as these number them.
+  void Renumber(const Tell& tell);
+
   // An operator leaves the engine out until the call back. That holds for the id, whatever the feed tells of
   // it meanwhile; back, it counts as started at that time. Both may be said again. kNobody: no engine, listed
   // or out, has the id.
@@ -72,7 +76,7 @@
   void End(EngineId engine);     // of one life
   void Forget(EngineId engine);  // has gone for good
 
-  const settings::Site& site_;
+  const settings::InForce& site_;
   std::map<std::string, EngineId> ids_;
   std::map<EngineId, std::string> names_;
   std::map<EngineId, Member> members_;
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -121,7 +121,7 @@
     faults.Add(node.place, "waiting takes a block only");
   ReadBlock(node.children, known, {"class", "team"}, faults);
   for (std::size_t i = 0; i < site.tenants.size(); ++i) {
-    if (!given.contains(i))
+    if (!given.contains(i) && !site.tenants[i].empty())
       faults.Add(node.place, "team '" + site.tenants[i] + "' of the site is not given: `team \"" +
                                  site.tenants[i] + "\" { cores 0 }` would refuse all it sends");
   }
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -163,6 +163,12 @@
 
 }  // namespace
 
+std::optional<std::uint16_t> Site::Place(const std::vector<std::string>& names, std::string_view name) {
+  const auto it = name.empty() ? names.end() : std::find(names.begin(), names.end(), name);
+  if (it == names.end()) return std::nullopt;
+  return static_cast<std::uint16_t>(it - names.begin());
+}
+
 Site ParseSite(const Pairs& in) {
   Site site;
   Settings& s = site.module;
@@ -209,6 +215,9 @@
   s.late_fail_price = in.Number("prices.lateFail");
   s.cross_zone_price = in.Number("prices.crossZone");
   ParseSpecifics(in, s);
+  site.per_class = site.classes.size();
+  for (const char* list : {"specifics.threadsByClass", "specifics.holdsTables", "specifics.blockedByLoads"})
+    if (in.Has(list)) site.per_class = std::min(site.per_class, in.List(list).size());
   site.answer_slack = in.Time("guarantees.answerSlackNs");
   site.keepalive = in.Time("limits.keepaliveNs");
   site.max_open = in.Count("limits.maxOpen");
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -7,6 +7,8 @@
 #include <cstdint>
 #include <initializer_list>
 #include <map>
+#include <memory>
+#include <optional>
 #include <stdexcept>
 #include <string>
 #include <string_view>
@@ -62,11 +64,35 @@
 // What a site tells: the module's settings, and what only its host needs.
 struct Site {
   Settings module;
-  std::vector<std::string> classes, tenants, zones, kinds;  // names, by index
+  // Names, by index; empty: a class or tenant that is no more and whose last requests are under way.
+  std::vector<std::string> classes, tenants, zones, kinds;
   Nanos answer_slack = 0;
-  Nanos keepalive = 0;  // engines close idle connections after this
-  int max_open = 0;     // requests held at a time; 0 = no limit told
+  Nanos keepalive = 0;        // engines close idle connections after this
+  std::size_t per_class = 0;  // classes for which every list of values by class has one
+  int max_open = 0;           // requests held at a time; 0 = no limit told
+
+  // A class or tenant by its name; none where no request may come with it any more.
+  std::optional<std::uint16_t> ClassOf(std::string_view name) const { return Place(classes, name); }
+  std::optional<std::uint16_t> TenantOf(std::string_view name) const { return Place(tenants, name); }
+
+ private:
+  static std::optional<std::uint16_t> Place(const std::vector<std::string>& names, std::string_view name);
 };
+
+// The settings in force: replaced as a whole, between two turns of the loop. What refers to them looks them
+// up here each time.
+class InForce {
+ public:
+  explicit InForce(Site site) : site_(std::make_shared<const Site>(std::move(site))) {}
+  const Site& operator*() const { return *site_; }
+  const Site* operator->() const { return site_.get(); }
+  std::shared_ptr<const Site> snapshot() const { return site_; }
+  void Replace(Site site) { site_ = std::make_shared<const Site>(std::move(site)); }
+
+ private:
+  std::shared_ptr<const Site> site_;
+};
+
 Site ParseSite(const Pairs& in);
 
 }  // namespace lemoncroft::settings
--- a/src/waiting/line.cpp
+++ b/src/waiting/line.cpp
@@ -66,6 +66,10 @@
 }
 
 void Line::Configure(Settings settings, Time now) {
+  // A number that is another class's now: what was learnt of the one before is not this one's.
+  for (std::size_t i = 0; i < std::min(class_off_.size(), settings.classes.size()); ++i) {
+    if (settings_.classes[i].name != settings.classes[i].name) class_off_[i] = 0;
+  }
   settings_ = std::move(settings);
   class_off_.resize(settings_.classes.size());
   priorities_.resize(settings_.classes.size(), 1);
--- a/src/waiting/line.h
+++ b/src/waiting/line.h
@@ -35,7 +35,8 @@
   explicit Line(Settings settings);
 
   // New settings, with requests waiting and running: teams keep their numbers, one that is gone has no
-  // budget (what waits of it is refused at the next Step), classes must be the same ones.
+  // budget (what waits of it is refused at the next Step), classes keep theirs while requests of them
+  // are known.
   void Configure(Settings settings, Time now);
   // Cores of the engines that may be sent to, all proxies' taken together.
   void SetFleet(double cores, Time now);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -225,6 +225,32 @@
   for (const Host::Sent& s : host.sends) EXPECT_EQ(s.engine, s.id <= 10 ? 2u : 3u);
 }
 
+TEST(Retune, WhatIsUnderWayKeepsItsClassAndWhatHasNoAttemptLeftIsAnswered) {
+  Settings before = SomeSettings();
+  Host host(before);
+  host.List({Ready(1)});
+  host.Step({Ask(1)});
+  host.Step({Ask(2)});
+  Settings after = before;
+  after.classes.push_back(SomeClass());
+  after.classes[1].effect = Effect::kUnsafe;
+  after.max_attempts = 2;
+  host.Step({Retuned{std::make_shared<const Settings>(after), {0, 0}}});
+  host.Step({Ask(3, 1)});
+  host.End(3, Outcome::kReset);
+  EXPECT_TRUE(host.failed.contains(3)) << "its class allows no repeat";
+  host.End(1, Outcome::kReset);
+  EXPECT_EQ(host.Attempts(1), 2);
+  EngineEntry draining = Ready(1);
+  draining.readiness = Readiness::kDraining;
+  host.List({draining}, ListKind::kChange);
+  host.End(2, Outcome::kFull);
+  EXPECT_FALSE(host.refused.contains(2));
+  after.max_attempts = 1;
+  host.Step({Retuned{std::make_shared<const Settings>(after), {0, 1}}});
+  EXPECT_TRUE(host.refused.contains(2)) << "held for an attempt that is no more allowed";
+}
+
 TEST(Rule3, WithEveryEngineOutByHandWhatIsHeldAndWhatComesIsRefusedAtOnce) {
   Host host(SomeSettings());
   EngineEntry out = Ready(1), draining = Ready(2);
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -12,7 +12,7 @@
 
 // Engines are replaced all day long, by ones with other names.
 TEST(Directory, KeepsNothingOfEnginesThatHaveGone) {
-  settings::Site site;
+  settings::InForce site{settings::Site()};
   membership::Directory directory(site);
   const auto tell = [&](int n, const std::string& id, const std::string& phase) {
     const std::string number = std::to_string(n);
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -9,6 +9,7 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -513,16 +514,31 @@
     Replace(text, "LISTEN", "127.0.0.1:" + std::to_string(listen_));
     Replace(text, "MANAGEMENT", "127.0.0.1:" + std::to_string(first_manage_));
     for (auto [key, value] : config_) {
-      if (key == "known") continue;
+      if (key == "known" || key == "cut") continue;
       Fill(value);
       const std::size_t at = text.find("\"" + key + "\":");
       if (at == std::string::npos) Wrong("no such key: " + key);
-      const std::size_t from = at + key.size() + 3;
-      text.replace(from, text.find_first_of(",}]\n", from) - from, value);
+      const std::size_t from = at + key.size() + 3, end = EndOfValue(text, from);
+      if (value == "-")
+        text.erase(at, end + (text[end] == ',') - at);
+      else
+        text.replace(from, end - from, value);
     }
+    const auto cut =
+        std::find_if(config_.rbegin(), config_.rend(), [](const auto& c) { return c.first == "cut"; });
+    if (cut != config_.rend() && cut->second != "-") text.resize(std::stoul(cut->second));
     return text;
   }
 
+  static std::size_t EndOfValue(const std::string& text, std::size_t at) {
+    for (int depth = 0; at < text.size(); ++at) {
+      const char c = text[at];
+      if (depth == 0 && (c == ',' || c == '}' || c == ']' || c == '\n')) break;
+      depth += (c == '[' || c == '{') - (c == ']' || c == '}');
+    }
+    return at;
+  }
+
   void WriteConfig() {
     std::ofstream(folder_ + "/config.json") << ConfigText();
     std::string text = operator_;
