Divide one proxy's limits and cold budgets between two processes

Change: locked slots in $TMPDIR tell who lives and what they hold; a pure function divides; the module divides budgets that hold for the proxy as a whole. Marks by hand: an unreadable folder lifts nothing; a call back that undoes nothing leaves no mark; the process waits up to 300 ms for engines to hear what is given up.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -200,8 +200,14 @@
   std::vector<int> like;  // for each class, the one before whose estimates it starts with; -1: none
 };
 
-using Event = std::variant<Retuned, EngineList, Request, AttemptEnded, StreamStarted, ClientGone, Note,
-                           Probed, PeerMessage, TimerFired>;
+// How many processes decide in the place of this gateway, this one included: while one takes another's place.
+// Budgets that hold for the gateway as a whole are divided by it.
+struct Beside {
+  int processes = 1;
+};
+
+using Event = std::variant<Retuned, Beside, EngineList, Request, AttemptEnded, StreamStarted, ClientGone,
+                           Note, Probed, PeerMessage, TimerFired>;
 
 // ---- Actions: to be carried out in the order given, at the time of the step ----
 
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -228,6 +228,11 @@
 }
 
 Task<> Engines::Order(EngineId engine, std::string method, std::string id, std::string body) {
+  struct Counted {
+    int& orders;
+    explicit Counted(int& of) : orders(of) { ++orders; }
+    ~Counted() { --orders; }
+  } const counted(orders_);
   Lease lease;
   const Io up = co_await pool_.Acquire(engine, Now() + connect_timeout_, nullptr, lease);
   if (up != Io::kOk) co_return;
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -42,6 +42,7 @@
   void Reprioritise(EngineId engine, std::string id, int priority);
   runtime::Task<Outcome> Probe(EngineId engine);
 
+  bool giving_up() const { return orders_ > 0; }  // an engine is still to be told of something
   Pool& pool() { return pool_; }
   void set_connect_timeout(runtime::Span span) { connect_timeout_ = span; }
 
@@ -60,6 +61,7 @@
   telemetry::Counters& counters_;
   Pool pool_;
   runtime::Span connect_timeout_;
+  int orders_ = 0;  // under way
 };
 
 }  // namespace lemoncroft::backend
--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -96,6 +96,12 @@
   idle_.erase(it);
 }
 
+void Pool::set_connections(std::size_t most) {
+  limits_.connections = most;
+  while (open_ > most && EvictOne()) {
+  }
+}
+
 // Makes room: the engine with the most idle connections loses the one that has been idle longest.
 bool Pool::EvictOne() {
   std::deque<Idle>* most = nullptr;
--- a/src/backend/pool.h
+++ b/src/backend/pool.h
@@ -55,6 +55,9 @@
   // none to spare.
   runtime::Task<runtime::Io> Acquire(EngineId engine, runtime::Time deadline, runtime::Cancellation* cancel,
                                      Lease& out, Want want = Want::kAny);
+  // Gives up idle ones where there are more.
+  void set_connections(std::size_t most);
+  std::size_t open() const { return open_; }
   void set_idle(runtime::Span idle) { limits_.idle = idle; }
   void Drop(EngineId engine);  // its idle connections
   runtime::Task<> CloseIdle();
--- a/src/cli/operations.cpp
+++ b/src/cli/operations.cpp
@@ -34,15 +34,15 @@
 Reply Operations::ByHand(const Call& call) {
   const bool out = call.verb == Verb::kExclude;
   const std::string& id = call.engine;
+  const bool was_out = directory_.IsOut(id);
   const Directory::ByHand done =
       out ? directory_.Exclude(id, tell_) : directory_.Include(id, std::chrono::system_clock::now(), tell_);
   if (done == Directory::ByHand::kNobody) return {false, "no database has this id", {}};
   if (done == Directory::ByHand::kTooMany) return {false, "too many databases are out already", {}};
   spdlog::info("operator: {} {}", out ? "exclude" : "include", id);
-  if (!marks_) return {true, {}, {}};
-  // The mark of one that isn't out any more goes, whether or not it was out here.
+  if (!marks_ || (!out && !was_out)) return {true, {}, {}};
   const bool kept = out ? marks_->Out(id) : marks_->Back(id);
-  if (kept) unkept_.erase(id);
+  if (kept || !out) unkept_.erase(id);
   if (kept || !out) return {true, {}, {}};
   unkept_.insert(id);
   spdlog::warn("operator: exclude {} can't be kept in $TMPDIR: it holds for this process only", id);
@@ -54,7 +54,6 @@
   const auto age = std::chrono::duration_cast<handover::UnixTime::duration>(warm);
   marks_->Sweep(std::chrono::system_clock::now() - age);
   TakeOver();
-  for (const std::string& id : marks_->Read().out) spdlog::info("out by hand, as before this start: {}", id);
 }
 
 runtime::Task<> Operations::FollowMarks() {
@@ -64,9 +63,12 @@
 }
 
 void Operations::TakeOver() {
-  handover::Marks marks = marks_->Read();
-  for (const std::string& id : unkept_) marks.out.insert(id);
-  directory_.TakeOver(marks.out, marks.returned, tell_);
+  auto marks = marks_->Read();
+  if (!marks) return;  // what is known stands
+  for (const std::string& id : unkept_) marks->out.insert(id);
+  for (const std::string& id : marks->out)
+    if (!directory_.IsOut(id)) spdlog::info("out by hand, as another process was told: {}", id);
+  directory_.TakeOver(marks->out, marks->returned, tell_);
 }
 
 }  // namespace lemoncroft::cli
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -16,6 +16,7 @@
 #include "cli/operations.h"
 #include "cli/state.h"
 #include "frontend/frame_server.h"
+#include "handover/census.h"
 #include "management/listener.h"
 #include "membership/directory.h"
 #include "membership/feed.h"
@@ -34,35 +35,41 @@
 constexpr auto kAcceptFor = 500ms;
 constexpr auto kServeFor = 700ms;
 constexpr auto kDrainBeat = 10ms;
+constexpr auto kGiveUpFor = 300ms;   // for attempts that nobody waits for to be called off
 constexpr auto kFeedFirst = 1000ms;  // for the control feed to answer a process that takes another's place
 constexpr auto kStartBeat = 5ms;
-constexpr auto kTidyBeat = 1s;   // of what reloads have left
-constexpr auto kStateBeat = 1s;  // of the state file
+constexpr auto kCensusBeat = 100ms;  // of what the processes of this proxy hold
+constexpr auto kTidyBeat = 1s;       // of what reloads have left
+constexpr auto kStateBeat = 1s;      // of the state file
 
 constexpr std::size_t kSocketsUntold = 1024;
-// Epoll, signals, log, control feed, those of short calls; operators and their listening socket.
-constexpr std::size_t kOwnDescriptors = 40 + management::Listener::kCallersMost + 1;
+constexpr std::size_t kOwnDescriptors = 40;  // epoll, signals, log, control feed, those of short calls
 
 // Well before the engine closes it: a statement must not cross a close.
 runtime::Span IdleFor(const settings::Site& site) {
   return broker::ToSpan(site.keepalive > 0 ? site.keepalive : Nanos{5'000'000'000}) * 3 / 4;
 }
 
-backend::Pool::Limits PoolLimits(const Config& config, std::size_t clients) {
+// What this proxy may hold, however many processes it is.
+handover::Whole WholeOf(const Config& config) {
   const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
+  const std::size_t operators = config.management ? management::Listener::kCallersMost + 1 : 0;
+  return {sockets, sockets * 2 / 5, kOwnDescriptors + operators};  // clients hold a third; some reconnect
+}
+
+backend::Pool::Limits PoolLimits(const Config& config) {
   backend::Pool::Limits limits;
-  limits.connections = std::max<std::size_t>(16, sockets - std::min(sockets, clients + kOwnDescriptors));
+  limits.connections = handover::Divide(WholeOf(config), {}, {}).engines;
   limits.idle = IdleFor(config.site);
   return limits;
 }
 
-frontend::FrameServer::Limits ClientLimits(const Config& config) {
+frontend::FrameServer::Limits ClientLimits(const Config& config, std::size_t memory_mb) {
   frontend::FrameServer::Limits limits;
-  const std::size_t sockets = config.sockets > 0 ? config.sockets : kSocketsUntold;
-  limits.connections = sockets * 2 / 5;  // clients hold a third; a reconnect may cross a close
-  if (config.memory_mb > 0) {
-    limits.unread_by_all = (config.memory_mb << 20) / 8;
-    limits.unparsed_of_all = (config.memory_mb << 20) / 4;
+  limits.connections = WholeOf(config).clients;
+  if (memory_mb > 0) {
+    limits.unread_by_all = (memory_mb << 20) / 8;
+    limits.unparsed_of_all = (memory_mb << 20) / 4;
   }
   return limits;
 }
@@ -72,10 +79,10 @@
   return site.max_open > 0 ? std::min(most, static_cast<std::size_t>(site.max_open)) : most;
 }
 
-broker::Broker::Limits RequestLimits(const Config& config, std::size_t most) {
+broker::Broker::Limits RequestLimits(const Config& config, std::size_t memory_mb, std::size_t most) {
   broker::Broker::Limits limits;
   limits.requests = MostRequests(config.site, most);
-  if (config.memory_mb > 0) limits.bytes = (config.memory_mb << 20) / 8;
+  if (memory_mb > 0) limits.bytes = (memory_mb << 20) / 8;
   return limits;
 }
 
@@ -126,6 +133,7 @@
   membership::Directory::Tell tell;
   std::size_t most;   // requests open, where the settings name no number
   std::string state;  // file; empty: none
+  bool tidying = false;
 };
 
 void PutInForce(Running& running, settings::Succession succession) {
@@ -187,12 +195,14 @@
 
 // Frees the numbers of classes and tenants that were kept for requests under way, once these have ended.
 Task<> Tidy(runtime::Loop& loop, Running& running) {
-  for (;; co_await loop.Sleep(kTidyBeat)) {
-    if (!settings::HasRetired(*running.site)) continue;
+  if (std::exchange(running.tidying, true)) co_return;
+  while (settings::HasRetired(*running.site)) {
+    co_await loop.Sleep(kTidyBeat);
     settings::Succession now =
         Succeed(*running.site, settings::WithoutRetired(*running.site), running.broker.used());
     if (now.site.module.classes != running.site->module.classes) PutInForce(running, std::move(now));
   }
+  running.tidying = false;
 }
 
 // Keeps the state file up to date, once a second.
@@ -222,10 +232,33 @@
   co_await loop.SleepUntil(since + kServeFor);
   broker.Close();
   while (broker.open() > 0 || !server.flushed()) co_await loop.Sleep(kDrainBeat);
+  // Engines are still being told of what was given up: else it would run on for nobody.
+  const Time last = Now() + kGiveUpFor;
+  while (!broker.idle() && Now() < last) co_await loop.Sleep(kDrainBeat);
   spdlog::info("ended");
   loop.Stop();
 }
 
+// Keeps to this process's share of the limits while there are others, and tells them what it holds.
+Task<> ShareLimits(runtime::Loop& loop, const handover::Census& census, Running& running) {
+  const handover::Whole whole = WholeOf(running.config);
+  for (std::size_t before = 0;; co_await loop.Sleep(kCensusBeat)) {
+    const handover::Holding own{static_cast<std::uint32_t>(running.server.connections()),
+                                static_cast<std::uint32_t>(running.engines.pool().open())};
+    census.Tell(own);
+    const handover::Others others = census.Look();
+    const handover::Share share = Divide(whole, own, others);
+    running.server.set_connections(share.clients);
+    running.engines.pool().set_connections(share.engines);
+    if (others.processes == before) continue;
+    before = others.processes;
+    running.broker.TellBeside(static_cast<int>(before) + 1);
+    spdlog::info(
+        "{} other processes of this proxy live: at most {} connections to clients, {} to engines now", before,
+        share.clients, share.engines);
+  }
+}
+
 // In place of another process: clients are let in once this one can serve as well as that one did. What the
 // configuration knows may be old, so the control feed is heard first, if it answers.
 Task<> StartInPlace(runtime::Loop& loop, const membership::Directory& directory, const membership::Feed& feed,
@@ -263,18 +296,20 @@
   Signals signals(loop);
   settings::InForce site(config.site);
   membership::Directory directory(site);
-  const auto client_limits = ClientLimits(config);
+  // Another process may live beside this one at any time, and bytes can't be handed back at once.
+  const std::size_t memory_mb = shared ? config.memory_mb / 2 : config.memory_mb;
   telemetry::Counters counters;
   for (const std::string& klass : site->classes) counters.Know(klass);
-  backend::Engines engines(loop, directory, PoolLimits(config, client_limits.connections),
-                           broker::ToSpan(site->module.connect_timeout), counters);
+  backend::Engines engines(loop, directory, PoolLimits(config), broker::ToSpan(site->module.connect_timeout),
+                           counters);
   op::OperatorFile file = ReadOperator(paths, *site);
   const std::size_t most = file.waiting ? file.waiting->line.waiting : broker::Broker::Limits().requests;
-  broker::Broker broker(loop, site, config.seed, engines, counters, RequestLimits(config, most));
+  broker::Broker broker(loop, site, config.seed, engines, counters, RequestLimits(config, memory_mb, most));
   if (file.waiting) broker.PutLineAhead(file.waiting->line);
   auto listener = shared ? std::make_unique<runtime::Listener>(loop, std::move(inherited))
                          : std::make_unique<runtime::Listener>(loop, config.listen);
-  frontend::FrameServer server(loop, std::move(listener), site, broker, counters, client_limits);
+  frontend::FrameServer server(loop, std::move(listener), site, broker, counters,
+                               ClientLimits(config, memory_mb));
   directory.on_ended = [&](EngineId engine) { engines.pool().Drop(engine); };
 
   const auto tell = [&](EngineList list) {
@@ -283,6 +318,10 @@
   };
   Operations operations(loop, directory, broker, counters, tell);
   const char* tmpdir = std::getenv("TMPDIR");
+  std::unique_ptr<handover::Census> census;
+  if (shared && tmpdir != nullptr) census = std::make_unique<handover::Census>(tmpdir);
+  if (shared && (tmpdir == nullptr || !census->counted()))
+    spdlog::warn("$TMPDIR can't be used: processes that take each other's place don't see each other");
   if (shared && tmpdir != nullptr)
     operations.ShareMarks(tmpdir, broker::ToSpan(site->module.warm_within + site->module.fall_window));
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
@@ -295,11 +334,11 @@
   }
   loop.Spawn(feed.Run());
   loop.Spawn(engines.pool().CloseIdle());
-  loop.Spawn(Tidy(loop, running));
   broker.Start();
   if (shared) {
     loop.Spawn(StartInPlace(loop, directory, feed, server, operations));
     loop.Spawn(operations.FollowMarks());
+    if (census) loop.Spawn(ShareLimits(loop, *census, running));
   } else {
     server.Start();
     operations.set_phase(Operations::Phase::kServing);
@@ -312,7 +351,10 @@
   }
   // Signals that come while one is handled are not lost: the next turn reads them.
   const auto handle_signals = [&]() -> Task<> {
-    while (co_await signals.Next() == SIGHUP) Reload(paths, running);
+    while (co_await signals.Next() == SIGHUP) {
+      Reload(paths, running);
+      loop.Spawn(Tidy(loop, running));
+    }
     operations.set_phase(Operations::Phase::kEnding);
     co_await End(loop, server, broker, shared);
   };
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -173,9 +173,11 @@
   listener_.reset();
 }
 
-bool FrameServer::HasRoom() {
+bool FrameServer::HasRoom() { return connections() < limits_.connections; }
+
+std::size_t FrameServer::connections() {
   std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
-  return connections_.size() < limits_.connections;
+  return connections_.size();
 }
 
 // The oldest of those that never asked properly goes first, then the one that has been idle longest, however
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -40,7 +40,9 @@
   // Lets in those who wait in the listening socket's queue, or leaves them to another process that holds it.
   enum class Queue { kLetIn, kLeave };
   void StopAccepting(Queue queue);
-  bool flushed() const;  // every answer has been handed to the kernel
+  void set_connections(std::size_t most) { limits_.connections = most; }
+  std::size_t connections();  // open now
+  bool flushed() const;       // every answer has been handed to the kernel
 
  private:
   struct Connection;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -256,6 +256,8 @@
     for (RequestId id : spent) Answer(queries_.at(id));
   }
 
+  void On(const Beside& beside) { beside_ = std::max(1, beside.processes); }
+
   // ---- The engine list ----
 
   void On(const EngineList& list) {
@@ -502,7 +504,7 @@
     const Nanos from = now_ - budget.look_back;
     while (!further_.empty() && further_.front() <= from - kBeat) further_.pop_front();
     while (!taken_.empty() && taken_.front() <= from) taken_.pop_front();
-    const double allowed = budget.free + budget.ratio * static_cast<double>(taken_.size());
+    const double allowed = budget.free / beside_ + budget.ratio * static_cast<double>(taken_.size());
     return static_cast<double>(further_.size()) + 1 <= allowed;
   }
 
@@ -533,7 +535,7 @@
   // each window. Nothing is saved up: an engine left alone for a while would be rushed by all gateways.
   bool ColdRoom(Engine& e, const Query& q) {
     if (!Cold(e)) return true;
-    const double earned = ColdRate(e) * part_;
+    const double earned = ColdRate(e) * part_ / beside_;
     e.cold_credit =
         std::min(e.cold_credit + earned * Seconds(now_ - e.cold_at), earned * Seconds(set_.fall_window));
     e.cold_at = now_;
@@ -994,6 +996,7 @@
   bool held_seen_ = false, aim_missed_ = false, loads_block_ = false;
   double demand_ = 0, credit_ = 0, part_ = 0, heaviest_ = 0;
   bool earning_ = false;
+  int beside_ = 1;  // processes of this gateway that decide
   Nanos probe_at_ = -kSecond;
   Nanos flags_at_ = 0, wake_at_ = -1;
 };
--- a/src/handover/hand_marks.cpp
+++ b/src/handover/hand_marks.cpp
@@ -69,12 +69,12 @@
   return kept && !error;
 }
 
-Marks HandMarks::Read() const {
+std::optional<Marks> HandMarks::Read() const {
   Marks marks;
   std::error_code error;
   std::size_t read = 0;
   for (fs::directory_iterator it(folder_, error), end; !error && it != end; it.increment(error)) {
-    if (++read > kRead) break;
+    if (++read > kRead) return std::nullopt;
     const std::string name = it->path().filename();
     const bool out = name.starts_with(kOut), back = name.starts_with(kBack);
     if (!out && !back) continue;
@@ -86,6 +86,7 @@
     if (out) marks.out.insert(*id);
     if (back) marks.returned[*id] = UnixTime(std::chrono::duration_cast<UnixTime::duration>(at));
   }
+  if (error) return std::nullopt;
   return marks;
 }
 
@@ -100,7 +101,9 @@
 
 void HandMarks::Sweep(UnixTime before) const {
   std::error_code error;
-  for (const auto& [id, at] : Read().returned) {
+  const auto marks = Read();
+  if (!marks) return;
+  for (const auto& [id, at] : marks->returned) {
     if (at < before) fs::remove(*File(kBack, id), error);
   }
 }
--- a/src/handover/hand_marks.h
+++ b/src/handover/hand_marks.h
@@ -22,8 +22,8 @@
 
 class HandMarks {
  public:
-  static constexpr std::size_t kIdMost = 64;      // longer ids have no file: it is named by the id in hex
-  static constexpr std::size_t kRead = 4 * 1024;  // files looked at, at the most
+  static constexpr std::size_t kIdMost = 64;       // longer ids have no file: it is named by the id in hex
+  static constexpr std::size_t kRead = 16 * 1024;  // files looked at, at the most
 
   // The folder's name carries the version of this form.
   explicit HandMarks(const std::filesystem::path& tmpdir) : folder_(tmpdir / "lemoncroft-hand-1") {}
@@ -32,7 +32,8 @@
   bool Out(const std::string& id) const;
   bool Back(const std::string& id) const;
 
-  Marks Read() const;
+  // None where the folder can't be read to its end: then nothing is known.
+  std::optional<Marks> Read() const;
   // Whether there may be news since the last call; cheap.
   bool Changed();
   // Forgets returns that are older: those engines are warm.
--- /dev/null
+++ b/src/handover/shares.h
@@ -0,0 +1,37 @@
+// How the processes of one proxy, which for a while are two or more, divide its limits. No I/O, no clock.
+#ifndef LEMONCROFT_HANDOVER_SHARES_H_
+#define LEMONCROFT_HANDOVER_SHARES_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace lemoncroft::handover {
+
+// Connections that a process holds.
+struct Holding {
+  std::uint32_t clients = 0, engines = 0;
+};
+
+// The others that live: how many, and what they hold together.
+struct Others {
+  std::size_t processes = 0;
+  Holding holding;
+};
+
+// The whole of a proxy, and what each process needs beside its connections.
+struct Whole {
+  std::size_t descriptors = 0, clients = 0, own = 0;
+};
+
+struct Share {
+  std::size_t clients = 0, engines = 0;
+};
+
+// Alone: all clients, and for the engines what is left. With others: what they don't hold, with a least for each;
+// engines have what clients leave, as many as there are now and half of the most beside, so that a share
+// shrinks when clients come.
+Share Divide(const Whole& whole, const Holding& own, const Others& others);
+
+}  // namespace lemoncroft::handover
+
+#endif  // LEMONCROFT_HANDOVER_SHARES_H_
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -17,6 +17,13 @@
   return static_cast<std::uint16_t>(it == names.end() ? 0 : it - names.begin());
 }
 
+constexpr Nanos kOwnReturn = 1'000'000'000;  // by the clock of files
+
+Nanos NanosOf(Directory::UnixTime at) {
+  return broker::ModuleClock::AtUnix(
+      std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()));
+}
+
 }  // namespace
 
 // The module ranks engines by their ids and wants these alike at every proxy and after every restart, so an
@@ -169,8 +176,7 @@
 
 Directory::ByHand Directory::Include(const std::string& id, UnixTime at, const Tell& tell) {
   if (out_.erase(id) == 0) return ids_.contains(id) ? ByHand::kDone : ByHand::kNobody;
-  const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch());
-  if (ids_.contains(id)) returned_[id] = broker::ModuleClock::AtUnix(since);
+  if (ids_.contains(id)) returned_[id] = NanosOf(at);
   Retell(id, true, tell);
   return ByHand::kDone;
 }
@@ -187,10 +193,13 @@
   for (const std::string& id : std::set<std::string>(out_)) {
     if (!out.contains(id)) Include(id, time(id), tell);
   }
-  if (loaded_) return;  // what follows is of before this process's start
+  // Those that were out and back before this process saw them out. Its own return is written a moment later.
   for (const auto& [id, at] : returned) {
-    const auto since = std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch());
-    returned_[id] = broker::ModuleClock::AtUnix(since);
+    const Nanos since = NanosOf(at);
+    if (loaded_ && !ids_.contains(id)) continue;
+    if (out_.contains(id) || (returned_.contains(id) && since <= returned_[id] + kOwnReturn)) continue;
+    returned_[id] = since;
+    Retell(id, true, tell);
   }
 }
 
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -50,6 +50,7 @@
   enum class ByHand { kDone, kNobody, kTooMany };
   ByHand Exclude(const std::string& id, const Tell& tell);
   ByHand Include(const std::string& id, UnixTime at, const Tell& tell);
+  bool IsOut(const std::string& id) const { return out_.contains(id); }
   // The same, as another process that serves these clients has been told: `out` is the whole of it.
   void TakeOver(const std::set<std::string>& out, const std::map<std::string, UnixTime>& returned,
                 const Tell& tell);
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -41,7 +41,7 @@
   SetOption(fd.get(), SOL_SOCKET, SO_REUSEADDR);
   const auto* raw = reinterpret_cast<const sockaddr*>(&address.raw);
   if (::bind(fd.get(), raw, sizeof address.raw) != 0 || ::listen(fd.get(), 1024) != 0) {
-    throw std::system_error(errno, std::generic_category(), "cannot listen");
+    throw std::system_error(errno, std::generic_category(), "cannot listen on " + address.Text());
   }
   return fd;
 }
@@ -79,6 +79,12 @@
   return out;
 }
 
+std::string Address::Text() const {
+  char host[INET_ADDRSTRLEN] = "";
+  ::inet_ntop(AF_INET, &raw.sin_addr, host, sizeof host);
+  return host + (":" + std::to_string(ntohs(raw.sin_port)));
+}
+
 Socket::Socket(Loop& loop, Descriptor fd) : loop_(loop), fd_(std::move(fd)) {
   loop_.Watch(fd_.get(), &watched_);
 }
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -17,6 +17,7 @@
 struct Address {
   sockaddr_in raw{};
   static std::optional<Address> Parse(std::string_view text);
+  std::string Text() const;
 };
 
 enum class Io { kOk, kClosed, kTimeout, kCancelled, kRefused, kNoDescriptors };
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -288,6 +288,30 @@
   EXPECT_LE(sent, 2.5 * 0.35 * 8 * 1.5 / s.gateways) << "half of what all gateways may send";
 }
 
+TEST(Rule4, TwoProcessesOfAGatewayDivideWhatAColdEngineTakes) {
+  Settings s = SomeSettings();
+  s.cold_from = 0.3;
+  s.warm_within = 15 * kSecond;
+  s.overload_multiple = 2.5;
+  s.fall_window = 1500 * kMs;
+  const auto sent = [&s](int processes) {
+    double total = 0;
+    for (std::uint64_t seed = 1; seed <= 20; ++seed) {
+      Host host(s, seed);
+      host.List({Ready(1, host.now), Ready(2)});
+      host.Step({Beside{processes}});
+      for (RequestId id = 1; id <= 400; ++id) {
+        host.Step({Ask(id)});
+        host.End(id, Outcome::kOk);
+        host.now += kMs;
+      }
+      for (const Host::Sent& x : host.sends) total += x.engine == 1;
+    }
+    return total;
+  };
+  EXPECT_LT(sent(2), 0.65 * sent(1));
+}
+
 TEST(Rule5, OneKeyRunsOneAtATimeAndRestsAfterAnUnknownEnd) {
   Settings s = SomeSettings();
   s.classes[0].in_order = true;
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -118,11 +118,17 @@
   return out;
 }
 
+// How parties write: all at once, or in pieces of that size with a pause behind each.
+std::size_t piece_size = 0;
+constexpr auto kPiecePause = 300us;
+
 void SendAll(int fd, const std::string& bytes) {
   for (std::size_t at = 0; at < bytes.size();) {
-    const ssize_t n = ::send(fd, bytes.data() + at, bytes.size() - at, MSG_NOSIGNAL);
+    const std::size_t left = bytes.size() - at, size = piece_size > 0 ? std::min(left, piece_size) : left;
+    const ssize_t n = ::send(fd, bytes.data() + at, size, MSG_NOSIGNAL);
     if (n <= 0) return;  // the peer has closed: what comes back tells
     at += static_cast<std::size_t>(n);
+    if (piece_size > 0) std::this_thread::sleep_for(kPiecePause);
   }
 }
 
@@ -441,6 +447,7 @@
   void Do(const Words& w) {
     const std::string& party = w[0];
     if (party == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(w.at(1))));
+    if (party == "pieces") return void(piece_size = std::stoul(w.at(1)));
     if (party == "clock") return w.at(1) == "send" ? void(clock_ = Clock::now()) : ExpectPassed(w.at(2));
     if (party == "engine") return void(servers_.try_emplace(w.at(1)));
     if (party == "config") return void(config_.emplace_back(w.at(1), w.at(2)));
@@ -540,7 +547,9 @@
   }
 
   void WriteConfig() {
-    std::ofstream(folder_ + "/config.json") << ConfigText();
+    // Whole or not at all: a process may be reading it.
+    std::ofstream(folder_ + "/config.new") << ConfigText();
+    ::rename((folder_ + "/config.new").c_str(), (folder_ + "/config.json").c_str());
     std::string text = operator_;
     Replace(text, "{folder}", folder_);
     if (!text.empty()) std::ofstream(folder_ + "/operator.kdl") << text;
@@ -668,6 +677,13 @@
       if (Log().find(w[2]) == std::string::npos) Wrong("the output lacks '" + w[2] + "'");
       return;
     }
+    if (w[1] == "logged") {
+      for (const auto until = Clock::now() + kPatience; Log().find(w.at(2)) == std::string::npos;
+           std::this_thread::sleep_for(10ms)) {
+        if (Clock::now() > until) Wrong("the log lacks '" + w[2] + "'");
+      }
+      return;
+    }
     if (w[1] == "traced") return Traced(w.at(2));
     if (w[1] == "send" && w.at(2) == "HUP") WriteConfig();
     if (w[1] == "send")
@@ -716,6 +732,7 @@
 
 void Play(const Scenario& scenario) {
   World world;
+  piece_size = 0;
   for (const Step& step : scenario.steps) {
     try {
       world.Do(step.words);
--- a/tests/scenario_parsers.cpp
+++ b/tests/scenario_parsers.cpp
@@ -17,12 +17,15 @@
   return json["a"].text + "|" + std::to_string(json["a"].items.size());
 }
 
-std::string Http(const std::string& text) {
+// How a text comes: byte by byte, or in two pieces.
+using Pieces = std::vector<std::string>;
+
+std::string Http(const Pieces& pieces) {
   codec::HttpParser parser({256, 64});
   std::string buffer;
   auto state = codec::HttpParser::State::kNeedMore;
-  for (const char c : text) {
-    buffer.push_back(c);
+  for (const std::string& piece : pieces) {
+    buffer += piece;
     if (state == codec::HttpParser::State::kNeedMore) state = parser.Feed(buffer);
   }
   if (state == codec::HttpParser::State::kNeedMore) state = parser.Finish();
@@ -33,24 +36,39 @@
          (r.keep_alive ? " keep" : " close") + " left=" + buffer;
 }
 
-std::string Frames(const std::string& text) {
+std::string Frames(const Pieces& pieces) {
+  using Result = codec::FrameReader::Result;
   codec::FrameReader reader;
   std::string buffer, out;
-  for (const char c : text) {
-    buffer.push_back(c);
+  for (const std::string& piece : pieces) {
+    buffer += piece;
     codec::Frame frame;
-    const auto result = reader.Next(buffer, frame);
-    if (result == codec::FrameReader::Result::kBadLength) return out + "bad length";
-    if (result == codec::FrameReader::Result::kNeedMore) continue;
-    out += std::to_string(frame.type) + ":" + std::to_string(frame.stream);
-    if (const auto fields = codec::ReadFields(frame.payload)) {
-      for (const auto& [name, value] : fields->fields) out.append(" ").append(name).append("=").append(value);
-      out.append(" body=").append(fields->body);
-    } else {
-      out += " malformed";
+    Result result = Result::kNeedMore;
+    while ((result = reader.Next(buffer, frame)) == Result::kFrame) {
+      out += std::to_string(frame.type) + ":" + std::to_string(frame.stream);
+      if (const auto fields = codec::ReadFields(frame.payload)) {
+        for (const auto& [name, value] : fields->fields)
+          out.append(" ").append(name).append("=").append(value);
+        out.append(" body=").append(fields->body);
+      } else {
+        out += " malformed";
+      }
+      out += ";";
     }
-    out += ";";
     reader.Compact(buffer);
+    if (result == Result::kBadLength) return out + "bad length";
+  }
+  return out;
+}
+
+// The same, however it is cut.
+std::string Cut(std::string (*parse)(const Pieces&), const std::string& text) {
+  Pieces bytes;
+  for (const char c : text) bytes.emplace_back(1, c);
+  const std::string out = parse(bytes);
+  for (std::size_t at = 0; at <= text.size(); ++at) {
+    const std::string two = parse({text.substr(0, at), text.substr(at)});
+    if (two != out) throw std::runtime_error("cut at byte " + std::to_string(at) + ": " + two);
   }
   return out;
 }
@@ -67,8 +85,8 @@
 
 const std::map<std::string, std::function<std::string(const std::string&)>> kParsers = {
     {"json", Json},
-    {"http", Http},
-    {"frames", Frames},
+    {"http", [](const std::string& text) { return Cut(Http, text); }},
+    {"frames", [](const std::string& text) { return Cut(Frames, text); }},
     {"settings", Settings},
     {"statement", [](const std::string& text) { return std::to_string(codec::TableGroup(text)); }},
 };
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -6,6 +6,7 @@
 #include <fstream>
 
 #include "cli/config.h"
+#include "handover/census.h"
 #include "handover/hand_marks.h"
 #include "management/call.h"
 #include "membership/directory.h"
@@ -52,13 +53,13 @@
   EXPECT_TRUE(one.Out("a/../b"));
   EXPECT_TRUE(other.Changed());
   EXPECT_TRUE(other.Out("c"));
-  EXPECT_EQ(one.Read().out, (std::set<std::string>{"a/../b", "c"}));
+  EXPECT_EQ(one.Read()->out, (std::set<std::string>{"a/../b", "c"}));
   EXPECT_TRUE(other.Back("a/../b"));
-  EXPECT_EQ(one.Read().out, (std::set<std::string>{"c"}));
-  EXPECT_EQ(one.Read().returned.count("a/../b"), 1u);
+  EXPECT_EQ(one.Read()->out, (std::set<std::string>{"c"}));
+  EXPECT_EQ(one.Read()->returned.count("a/../b"), 1u);
   one.Sweep(std::chrono::system_clock::now() + 1h);
-  EXPECT_TRUE(one.Read().returned.empty());
-  EXPECT_EQ(one.Read().out.size(), 1u);
+  EXPECT_TRUE(one.Read()->returned.empty());
+  EXPECT_EQ(one.Read()->out.size(), 1u);
 }
 
 TEST_F(Marks, PassOverWhatIsNoneOfTheirs) {
@@ -69,7 +70,7 @@
     std::ofstream(folder / name) << std::string(1000, '\0');
   fs::create_directory(folder / "out-61626364");
   fs::create_symlink("/nonexistent", folder / "out-6162");
-  EXPECT_EQ(marks.Read().out, (std::set<std::string>{"a"}));
+  EXPECT_EQ(marks.Read()->out, (std::set<std::string>{"a"}));
   EXPECT_FALSE(marks.Out(std::string(handover::HandMarks::kIdMost + 1, 'x')));
 }
 
@@ -77,7 +78,7 @@
   std::ofstream(dir_ / "lemoncroft-hand-1") << "a file where the folder should be";
   handover::HandMarks marks(dir_);
   EXPECT_FALSE(marks.Out("a"));
-  EXPECT_TRUE(marks.Read().out.empty());
+  EXPECT_FALSE(marks.Read()) << "nothing is known, so nothing is lifted";
 }
 
 // The module warms an engine by its start; a return by hand counts as one, whatever the feed tells later.
@@ -265,6 +266,62 @@
   EXPECT_TRUE(with("\"maxAttempts\":5", "\"maxAttempts\":2"));
 }
 
+// ---- Two processes ----
+
+TEST(Shares, AddUpToNoMoreThanTheWhole) {
+  for (std::size_t sockets : {384u, 512u, 1024u}) {
+    const handover::Whole whole{sockets, sockets * 2 / 5, 57};
+    const handover::Share alone = handover::Divide(whole, {}, {});
+    EXPECT_EQ(alone.clients, whole.clients);
+    EXPECT_EQ(alone.clients + alone.engines + whole.own, sockets);
+    // Each in turn takes all that it may as it sees the other, from a start at which one has all or few
+    // clients.
+    for (const std::uint32_t clients : {0u, 30u, static_cast<std::uint32_t>(alone.clients)}) {
+      handover::Holding held[2] = {{clients, static_cast<std::uint32_t>(alone.engines)}, {}};
+      for (int turn = 0; turn < 10; ++turn) {
+        const auto share = handover::Divide(whole, held[turn % 2], {1, held[1 - turn % 2]});
+        EXPECT_GE(share.clients, whole.clients / 4);
+        EXPECT_GE(share.engines, 16u);
+        held[turn % 2] = {static_cast<std::uint32_t>(share.clients),
+                          static_cast<std::uint32_t>(share.engines)};
+      }
+      const std::size_t sum = held[0].clients + held[1].clients + held[0].engines + held[1].engines;
+      EXPECT_LE(sum + 2 * whole.own, sockets) << clients;
+    }
+  }
+}
+
+TEST(Shares, WhatTheOthersDoNotHoldIsFree) {
+  const handover::Whole whole{384, 153, 57};
+  const auto share = handover::Divide(whole, {20, 5}, {1, {30, 40}});
+  EXPECT_EQ(share.clients, 123u);
+  EXPECT_EQ(share.engines, 88u) << "384 - 2 x 57 - 50 - 76 = 144, less 40 and a margin of 16";
+}
+
+TEST_F(Marks, TheCensusCountsThoseThatLive) {
+  handover::Census one(dir_);
+  ASSERT_TRUE(one.counted());
+  EXPECT_EQ(one.Look().processes, 0u);
+  {
+    const handover::Census other(dir_);
+    other.Tell({7, 9});
+    EXPECT_EQ(one.Look().processes, 1u);
+    EXPECT_EQ(one.Look().holding.clients, 7u);
+    EXPECT_EQ(one.Look().holding.engines, 9u);
+    const handover::Census third(dir_);
+    EXPECT_EQ(one.Look().processes, 2u);
+    EXPECT_EQ(third.Look().holding.clients, 7u);
+  }
+  EXPECT_EQ(one.Look().processes, 0u) << "what the dead have left counts for nothing";
+}
+
+TEST_F(Marks, ACensusWithoutAFileCountsNobody) {
+  const handover::Census census(dir_ / "nowhere");
+  EXPECT_FALSE(census.counted());
+  census.Tell({1, 1});
+  EXPECT_EQ(census.Look().processes, 0u);
+}
+
 TEST(Counters, AreBounded) {
   telemetry::Counters counters;
   for (int i = 0; i < 10'000; ++i) counters.Taken("class-" + std::to_string(i));
