Keep an ending process's cold budget, and answer what it can't finish before it is killed

At fault: an old process lives up to 5.7 s (its log never said "ended": loads outlast the SIGKILL), and halved its successor's budget for so long. Change: only processes that let clients in divide; a successor starts with nothing saved up; an old process has the module answer what is open 200 ms before SIGKILL (Closing), which was cut off without an answer before.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -200,14 +200,18 @@
   std::vector<int> like;  // for each class, the one before whose estimates it starts with; -1: none
 };
 
-// How many processes decide in the place of this gateway, this one included: while one takes another's place.
-// Budgets that hold for the gateway as a whole are divided by it.
+// Others decide in the place of this gateway too, while one process takes another's place: budgets that hold
+// for the gateway as a whole are divided by so many parts, of which this one has one. Before the first list
+// where it is so from the start.
 struct Beside {
-  int processes = 1;
+  int parts = 1;
 };
 
-using Event = std::variant<Retuned, Beside, EngineList, Request, AttemptEnded, StreamStarted, ClientGone,
-                           Note, Probed, PeerMessage, TimerFired>;
+// The process is about to be ended: what has no answer yet gets it now.
+struct Closing {};
+
+using Event = std::variant<Retuned, Beside, Closing, EngineList, Request, AttemptEnded, StreamStarted,
+                           ClientGone, Note, Probed, PeerMessage, TimerFired>;
 
 // ---- Actions: to be carried out in the order given, at the time of the step ----
 
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -47,13 +47,15 @@
   void TellList(EngineList list);
   // New settings are in force; `like` as in Retuned.
   void Retune(std::vector<int> like, std::size_t requests);
-  void TellBeside(int processes) { host_.Post(Beside{processes}); }
+  void TellBeside(int parts) { host_.Post(Beside{parts}); }
   settings::Used used() const;  // by requests under way
   // From now on new requests are refused: the process is about to end.
   void Close() { closed_ = true; }
   bool idle() const { return lives_.empty() && !engines_.giving_up(); }  // nothing is out any more
   std::vector<EngineId> Avoided() const { return host_.Avoided(); }      // by the module's choice
-  std::size_t open() const { return open_; }                             // requests without a final answer
+  // Has the module answer what is open: nothing of it can be waited for any longer.
+  void AnswerAll() { host_.Post(Closing{}); }
+  std::size_t open() const { return open_; }  // requests without a final answer
 
  private:
   struct Ended {
--- a/src/cli/operations.h
+++ b/src/cli/operations.h
@@ -24,6 +24,7 @@
 
   management::Reply Answer(const management::Call& call);
   void set_phase(Phase phase) { phase_ = phase; }
+  Phase phase() const { return phase_; }
 
   // From now on engines out by hand are kept in $TMPDIR, for the process that takes this one's place; what
   // one before has left there holds here. `warm`: how long a returned engine may be cold.
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -35,7 +35,10 @@
 constexpr auto kAcceptFor = 500ms;
 constexpr auto kServeFor = 700ms;
 constexpr auto kDrainBeat = 10ms;
-constexpr auto kGiveUpFor = 300ms;   // for attempts that nobody waits for to be called off
+// Where another process takes its place, SIGKILL comes when the longest deadline, or this if that is longer,
+// has passed since then. An answer that says so, some time before it, is better than none.
+constexpr auto kOutlives = 5000ms, kLastAnswers = 200ms;
+constexpr auto kGiveUpFor = 100ms;   // for attempts that nobody waits for to be called off
 constexpr auto kFeedFirst = 1000ms;  // for the control feed to answer a process that takes another's place
 constexpr auto kStartBeat = 5ms;
 constexpr auto kCensusBeat = 100ms;  // of what the processes of this proxy hold
@@ -220,7 +223,8 @@
 
 // Lets what was taken come to its end. Who comes meanwhile is another process's where that holds the
 // listening socket too.
-Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker, bool shared) {
+Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker,
+           const settings::Site& site, bool shared) {
   using Queue = frontend::FrameServer::Queue;
   const Time since = Now();
   spdlog::info("ending: {} requests open", broker.open());
@@ -231,6 +235,15 @@
   server.AnnounceEnd();  // to those who came meanwhile
   co_await loop.SleepUntil(since + kServeFor);
   broker.Close();
+  if (shared) {
+    Nanos longest = 0;
+    for (const ClassSettings& c : site.module.classes) longest = std::max(longest, c.deadline);
+    const Time last =
+        since + kServeFor + std::min<runtime::Span>(broker::ToSpan(longest), kOutlives) - kLastAnswers;
+    while (broker.open() > 0 && Now() < last) co_await loop.Sleep(kDrainBeat);
+    if (broker.open() > 0) spdlog::info("ending: {} requests can't be waited for", broker.open());
+    broker.AnswerAll();
+  }
   while (broker.open() > 0 || !server.flushed()) co_await loop.Sleep(kDrainBeat);
   // Engines are still being told of what was given up: else it would run on for nobody.
   const Time last = Now() + kGiveUpFor;
@@ -240,19 +253,22 @@
 }
 
 // Keeps to this process's share of the limits while there are others, and tells them what it holds.
-Task<> ShareLimits(runtime::Loop& loop, const handover::Census& census, Running& running) {
+Task<> ShareLimits(runtime::Loop& loop, const handover::Census& census, const Operations& operations,
+                   Running& running) {
   const handover::Whole whole = WholeOf(running.config);
-  for (std::size_t before = 0;; co_await loop.Sleep(kCensusBeat)) {
+  std::size_t before = 0;
+  int parts = 0;  // not told yet
+  for (;; co_await loop.Sleep(kCensusBeat)) {
     const handover::Holding own{static_cast<std::uint32_t>(running.server.connections()),
-                                static_cast<std::uint32_t>(running.engines.pool().open())};
+                                static_cast<std::uint32_t>(running.engines.pool().open()),
+                                operations.phase() == Operations::Phase::kServing};
     census.Tell(own);
     const handover::Others others = census.Look();
     const handover::Share share = Divide(whole, own, others);
     running.server.set_connections(share.clients);
     running.engines.pool().set_connections(share.engines);
-    if (others.processes == before) continue;
-    before = others.processes;
-    running.broker.TellBeside(static_cast<int>(before) + 1);
+    if (const int now = Parts(own, others); std::exchange(parts, now) != now) running.broker.TellBeside(now);
+    if (std::exchange(before, others.processes) == others.processes) continue;
     spdlog::info(
         "{} other processes of this proxy live: at most {} connections to clients, {} to engines now", before,
         share.clients, share.engines);
@@ -324,6 +340,8 @@
     spdlog::warn("$TMPDIR can't be used: processes that take each other's place don't see each other");
   if (shared && tmpdir != nullptr)
     operations.ShareMarks(tmpdir, broker::ToSpan(site->module.warm_within + site->module.fall_window));
+  // Before the list: what a cold engine takes may have been sent it just now.
+  if (census && census->Look().holding.serves > 0) broker.TellBeside(2);
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
   membership::Feed feed(loop, directory, config.feed, tell);
   Running running{config, site, server, broker, engines, directory, feed, counters, tell, most, ""};
@@ -338,7 +356,7 @@
   if (shared) {
     loop.Spawn(StartInPlace(loop, directory, feed, server, operations));
     loop.Spawn(operations.FollowMarks());
-    if (census) loop.Spawn(ShareLimits(loop, *census, running));
+    if (census) loop.Spawn(ShareLimits(loop, *census, operations, running));
   } else {
     server.Start();
     operations.set_phase(Operations::Phase::kServing);
@@ -356,7 +374,7 @@
       loop.Spawn(Tidy(loop, running));
     }
     operations.set_phase(Operations::Phase::kEnding);
-    co_await End(loop, server, broker, shared);
+    co_await End(loop, server, broker, *site, shared);
   };
   loop.Spawn(handle_signals());
   spdlog::info("{} listens on {}", config.name, config.listen_text);
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -256,7 +256,15 @@
     for (RequestId id : spent) Answer(queries_.at(id));
   }
 
-  void On(const Beside& beside) { beside_ = std::max(1, beside.processes); }
+  void On(const Beside& beside) { beside_ = std::max(1, beside.parts); }
+
+  void On(const Closing&) {
+    std::vector<RequestId> open;
+    for (const auto& [id, q] : queries_)
+      if (q.where != Where::kDone) open.push_back(id);
+    std::sort(open.begin(), open.end());  // the map has no order of its own
+    for (RequestId id : open) Answer(queries_.at(id));
+  }
 
   // ---- The engine list ----
 
@@ -283,7 +291,8 @@
     e.memory = kind.memory_mb;
     if (fresh || restarted) {
       e.bound = SeedBound(e);
-      e.cold_at = std::max(entry.started_at, now_ - set_.fall_window);
+      // Beside another process, which may have sent it a whole window's worth just now: from nothing.
+      e.cold_at = beside_ > 1 ? now_ : std::max(entry.started_at, now_ - set_.fall_window);
       e.period_start = now_;
     }
   }
@@ -996,7 +1005,7 @@
   bool held_seen_ = false, aim_missed_ = false, loads_block_ = false;
   double demand_ = 0, credit_ = 0, part_ = 0, heaviest_ = 0;
   bool earning_ = false;
-  int beside_ = 1;  // processes of this gateway that decide
+  int beside_ = 1;  // parts that the budgets of this gateway are divided by
   Nanos probe_at_ = -kSecond;
   Nanos flags_at_ = 0, wake_at_ = -1;
 };
--- a/src/handover/census.cpp
+++ b/src/handover/census.cpp
@@ -49,6 +49,7 @@
     if (::pread(file_.get(), &holding, sizeof holding, Place(slot)) != sizeof holding) continue;
     others.holding.clients += std::min(holding.clients, kMost);
     others.holding.engines += std::min(holding.engines, kMost);
+    others.holding.serves += holding.serves == 1;
   }
   return others;
 }
--- a/src/handover/shares.cpp
+++ b/src/handover/shares.cpp
@@ -12,6 +12,10 @@
 
 }  // namespace
 
+int Parts(const Holding& own, const Others& others) {
+  return own.serves > 0 ? static_cast<int>(others.holding.serves) + 1 : 1;
+}
+
 Share Divide(const Whole& whole, const Holding& own, const Others& others) {
   const std::size_t processes = others.processes + 1;
   if (others.processes == 0) {
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -251,6 +251,25 @@
   EXPECT_TRUE(host.refused.contains(2)) << "held for an attempt that is no more allowed";
 }
 
+TEST(Closing, AnswersWhatIsOpenByWhatMayHaveRun) {
+  Settings s = SomeSettings();
+  s.classes.push_back(SomeClass());
+  s.classes[1].effect = Effect::kUnsafe;
+  Host host(s);
+  host.List({Ready(1)});
+  host.Step({Ask(1), Ask(2, 1)});
+  ASSERT_EQ(host.sends.size(), 2u);
+  EngineEntry draining = Ready(1);
+  draining.readiness = Readiness::kDraining;
+  host.List({draining}, ListKind::kChange);
+  host.Step({Ask(3, 1)});
+  host.Step({Closing{}});
+  EXPECT_TRUE(host.refused.contains(1));
+  EXPECT_TRUE(host.failed.contains(2)) << "it may have run";
+  EXPECT_TRUE(host.refused.contains(3)) << "held: it never ran";
+  EXPECT_EQ(host.cancels, (std::set<RequestId>{1, 2}));
+}
+
 TEST(Rule3, WithEveryEngineOutByHandWhatIsHeldAndWhatComesIsRefusedAtOnce) {
   Host host(SomeSettings());
   EngineEntry out = Ready(1), draining = Ready(2);
@@ -294,12 +313,12 @@
   s.warm_within = 15 * kSecond;
   s.overload_multiple = 2.5;
   s.fall_window = 1500 * kMs;
-  const auto sent = [&s](int processes) {
+  const auto sent = [&s](int parts) {
     double total = 0;
     for (std::uint64_t seed = 1; seed <= 20; ++seed) {
       Host host(s, seed);
+      host.Step({Beside{parts}});
       host.List({Ready(1, host.now), Ready(2)});
-      host.Step({Beside{processes}});
       for (RequestId id = 1; id <= 400; ++id) {
         host.Step({Ask(id)});
         host.End(id, Outcome::kOk);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -298,16 +298,25 @@
   EXPECT_EQ(share.engines, 88u) << "384 - 2 x 57 - 50 - 76 = 144, less 40 and a margin of 16";
 }
 
+TEST(Shares, BudgetsAreDividedAmongThoseThatLetClientsIn) {
+  const handover::Holding serves{1, 1, 1}, ends{1, 1, 0};
+  EXPECT_EQ(handover::Parts(serves, {}), 1);
+  EXPECT_EQ(handover::Parts(serves, {1, serves}), 2);
+  EXPECT_EQ(handover::Parts(serves, {1, ends}), 1) << "an old one that only ends takes nothing new";
+  EXPECT_EQ(handover::Parts(ends, {1, serves}), 1);
+}
+
 TEST_F(Marks, TheCensusCountsThoseThatLive) {
   handover::Census one(dir_);
   ASSERT_TRUE(one.counted());
   EXPECT_EQ(one.Look().processes, 0u);
   {
     const handover::Census other(dir_);
-    other.Tell({7, 9});
+    other.Tell({7, 9, 1});
     EXPECT_EQ(one.Look().processes, 1u);
     EXPECT_EQ(one.Look().holding.clients, 7u);
     EXPECT_EQ(one.Look().holding.engines, 9u);
+    EXPECT_EQ(one.Look().holding.serves, 1u);
     const handover::Census third(dir_);
     EXPECT_EQ(one.Look().processes, 2u);
     EXPECT_EQ(third.Look().holding.clients, 7u);
