--- a/tests/scenario_parsers.cpp
+++ b/tests/scenario_parsers.cpp
@@ -65,7 +65,7 @@
 std::string Cut(std::string (*parse)(const Pieces&), const std::string& text) {
   Pieces bytes;
   for (const char c : text) bytes.emplace_back(1, c);
-  const std::string out = parse(bytes);
+  std::string out = parse(bytes);
   for (std::size_t at = 0; at <= text.size(); ++at) {
     const std::string two = parse({text.substr(0, at), text.substr(at)});
     if (two != out) throw std::runtime_error("cut at byte " + std::to_string(at) + ": " + two);
--- a/tests/service_test.cpp
+++ b/tests/service_test.cpp
@@ -247,7 +247,7 @@
 }
 
 TEST(Reload, TurnsDownFiguresThatAreNone) {
-  const auto with = [](std::string what, const std::string& by) {
+  const auto with = [](const std::string& what, const std::string& by) {
     std::string file = kFile;
     file.replace(file.find(what), what.size(), by);
     return Taken(file);
