Send each of many proxies to a subset of the engines, by rendezvous hashing

At fault: Choose in src/gateway.cpp looked at all engines; Earn took this proxy's part of an engine as its demand over the whole fleet's cores, though it sends to few.

Change: ChooseSubset ranks the ready engines by rendezvous hashing of the proxy's number (an engine that comes or goes moves few others) and keeps enough that some 25 proxies share each engine, at least 10; Choose goes beyond the subset only when none in it can take the query. With one to three proxies the subset is the whole fleet. Cold budgets count the subset's cores.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -81,8 +81,11 @@
 constexpr std::size_t kWarmGroups = 4;  // table groups assumed warm on an engine
 constexpr double kWarmGain = 0.5;       // of a query's work saved by a warm group (assumed)
 constexpr std::size_t kHomes = 2;       // engines that keep a table group warm for all gateways
-constexpr double kOverdue = 2;          // times its expected time: an attempt hints at a sick engine
-constexpr double kLoadSide = 0.5;       // share of engines that take a table group's loads, not its readers
+// Subsets: a gateway meets its part of a large fleet often enough to learn it and keep connections warm.
+constexpr double kShared = 25;            // gateways that share an engine: enough to smooth out their bursts
+constexpr std::size_t kSubsetLeast = 10;  // engines in a subset: room for cold and sick ones among them
+constexpr double kOverdue = 2;            // times its expected time: an attempt hints at a sick engine
+constexpr double kLoadSide = 0.5;         // share of engines that take a table group's loads, not its readers
 // Held queries.
 constexpr int kTries = 4;                  // held queries of a group tried in one decision
 constexpr double kLateLeast = 0.15;        // late worth below this share isn't waited for
@@ -134,6 +137,7 @@
 struct Engine : Learned {
   EngineEntry entry;
   bool listed = false;
+  bool near = true;  // in this gateway's subset
   double cores = 1;
   double memory = 0;  // MB; 0 = not told
   std::set<RequestId> runs;
@@ -277,6 +281,21 @@
     }
     for (const EngineEntry& entry : *list.entries) Apply(entry);
     std::erase_if(engines_, [](const auto& e) { return !e.second.listed && e.second.runs.empty(); });
+    ChooseSubset();
+  }
+
+  // Rendezvous hashing by this gateway's number: an engine that comes or goes moves few others.
+  void ChooseSubset() {
+    std::vector<std::pair<std::uint64_t, Engine*>> ranks;
+    for (auto& [id, e] : engines_) {
+      e.near = false;
+      if (e.listed && e.entry.readiness == Readiness::kReady)
+        ranks.emplace_back(Mix(Mix(set_.self + 1) ^ id), &e);
+    }
+    const double wanted = std::ceil(static_cast<double>(ranks.size()) * kShared / set_.gateways);
+    const std::size_t size = std::max(kSubsetLeast, static_cast<std::size_t>(wanted));
+    std::sort(ranks.begin(), ranks.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    for (std::size_t i = 0; i < ranks.size() && i < size; ++i) ranks[i].second->near = true;
   }
 
   void Apply(const EngineEntry& entry) {
@@ -443,14 +462,14 @@
   // whole fleet: a gateway earns thread seconds by its own demand and pays for what its attempts took, ahead
   // as expected. Harm: after a burst of its own it waits although engines have room.
   void Earn(double seconds) {
-    double cores = 0;
-    for (const auto& [id, e] : engines_) cores += e.listed ? e.cores : 0;
+    double cores = 0, near = 0;
+    for (const auto& [id, e] : engines_) cores += e.listed ? e.cores : 0, near += e.near ? e.cores : 0;
     heaviest_ = 0;
     for (const ClassStats& s : stats_) heaviest_ = std::max(heaviest_, s.work);
     demand_ *= std::exp(-seconds / kDemandMemory);
     if (!earning_) demand_ = kUsualLoad * cores / set_.gateways;
     // In an overload demands, clients' repeats among them, add up to more than the fleet; slow answers tell.
-    part_ = std::min(1.0, demand_ / std::max(1.0, cores) / std::max(1.0, fleet_latency_));
+    part_ = std::min(1.0, demand_ / std::max(1.0, near) / std::max(1.0, fleet_latency_));
     const double share = kSeedFactor * demand_, most = kCreditMost * std::max(share, heaviest_);
     if (!earning_) credit_ = Random() * most;
     earning_ = earning_ || cores > 0;
@@ -615,8 +634,10 @@
   Engine* Choose(const Query& q) {
     if (!RepeatSafe(q)) return nullptr;
     std::vector<Engine*> able;
-    for (auto& [id, e] : engines_) {
-      if (Takes(q, e)) able.push_back(&e);
+    for (const bool near : {true, false}) {  // beyond the subset only when none in it can take the query
+      for (auto& [id, e] : engines_)
+        if (e.near == near && Takes(q, e)) able.push_back(&e);
+      if (!able.empty()) break;
     }
     if (able.empty()) return nullptr;
     RankFor(q, able);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -903,6 +903,44 @@
   EXPECT_GT(back, 5);
 }
 
+// Days at size: a hundred gateways that each sent to all sixty engines met every one seldom, and paid a
+// handshake at nearly every attempt. Each sends to a subset of its own, and every engine is in some.
+std::set<EngineId> EnginesUsed(Settings s, int self, int engines) {
+  s.self = self;
+  s.report_fields = {};
+  Host host(s);
+  std::vector<EngineEntry> fleet;
+  for (EngineId id = 1; id <= static_cast<EngineId>(engines); ++id) fleet.push_back(Ready(id));
+  host.List(fleet);
+  std::set<EngineId> used;
+  for (RequestId id = 1; id <= 300; ++id) {
+    Request ask = Ask(id, 0, 4 * kSecond, kMs);
+    ask.tables = static_cast<std::uint32_t>(id);  // a group each: no engine is a home
+    host.Step({ask});
+    if (host.engine_of.contains(id)) used.insert(host.engine_of[id]), host.End(id, Outcome::kOk, kMs, kMs);
+  }
+  return used;
+}
+
+TEST(Subset, EachOfManyGatewaysSendsToAPartOfTheFleet) {
+  Settings s = SomeSettings();
+  s.gateways = 100;
+  std::map<EngineId, int> sharing;
+  for (int self = 0; self < 100; ++self) {
+    const std::set<EngineId> used = EnginesUsed(s, self, 60);
+    EXPECT_GE(used.size(), 5u) << "gateway " << self;
+    EXPECT_LE(used.size(), 15u) << "gateway " << self << ": sixty engines by twenty-five gateways each";
+    for (EngineId id : used) ++sharing[id];
+  }
+  EXPECT_EQ(sharing.size(), 60u) << "no engine is left out of all subsets";
+  for (const auto& [id, gateways] : sharing) EXPECT_LE(gateways, 50) << "engine " << id;
+}
+
+TEST(Subset, FewGatewaysUseTheWholeFleet) {
+  Settings s = SomeSettings();
+  EXPECT_GT(EnginesUsed(s, 1, 60).size(), 30u) << "two gateways share every engine";
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   auto run = [] {
     Host host(SomeSettings(), 11);
