Keep a view of the fleet: SWIM state machine, frames, link, operator's block, lemoncroft peers

Design in docs/peers.md. Change: src/peers (view, roster, news queue; no I/O, no clock), src/peerlink (MessagePack frames under bounds, datagrams and exchange streams on the loop), src/runtime/datagram, block fleet of the operator's file, lemoncroft peers, figures in telemetry, structured log lines; src/standin gains links and a fleet of views in virtual time.

--- /dev/null
+++ b/src/cli/fleet.cpp
@@ -0,0 +1,233 @@
+#include "cli/fleet.h"
+
+#include <spdlog/spdlog.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <chrono>
+#include <cstdio>
+#include <cstring>
+#include <nlohmann/json.hpp>
+
+#include "cli/state.h"
+
+namespace lemoncroft::cli {
+namespace {
+
+using namespace std::chrono_literals;
+using nlohmann::ordered_json;
+using peers::Change;
+using peers::Member;
+using peers::Status;
+
+constexpr auto kStateBeat = 200ms;  // of a file whose view has changed
+constexpr int kStateEvery = 5;      // beats, where it has not
+constexpr int kTroubled = 3;        // exit code
+
+const char* NameOf(Status status) {
+  constexpr const char* kNames[] = {"alive", "suspected", "failed", "left"};
+  return kNames[static_cast<std::size_t>(status)];
+}
+
+const char* NameOf(peers::Phase phase) {
+  constexpr const char* kNames[] = {"starting", "serving", "ending"};
+  return kNames[static_cast<std::size_t>(phase)];
+}
+
+std::string Hex(peers::InstanceId id) { return fmt::format("{:016x}", id); }
+
+// As the rig's history and a reader of several logs want it: one clock for all processes of a machine.
+std::int64_t MonotonicUs() {
+  return std::chrono::duration_cast<std::chrono::microseconds>(runtime::Now().time_since_epoch()).count();
+}
+
+spdlog::level::level_enum LevelOf(Change change) {
+  switch (change) {
+    case Change::kChanged:
+    case Change::kFreed:
+      return spdlog::level::debug;
+    case Change::kFailed:
+    case Change::kContested:
+    case Change::kHeld:
+      return spdlog::level::warn;
+    default:
+      return spdlog::level::info;
+  }
+}
+
+peerlink::Terms TermsOf(const op::FleetSettings& settings, const std::string& name) {
+  return {settings.name, name, settings.zone, settings.listen, settings.advertise, settings.view};
+}
+
+int Print(const ordered_json& state) {
+  std::printf("%s of fleet %s: %zu alive, %zu suspected, %zu failed; %d serve, this one is %d; health %d%s\n",
+              state.at("proxy").get<std::string>().c_str(), state.at("fleet").get<std::string>().c_str(),
+              state.at("alive").get<std::size_t>(), state.at("suspected").get<std::size_t>(),
+              state.at("failed").get<std::size_t>(), state.at("serving").get<int>(),
+              state.at("place").get<int>() + 1, state.at("health").get<int>(),
+              state.at("views_differ").get<std::size_t>() > 0 ? "; VIEWS DIFFER" : "");
+  std::printf("%-20s %-10s %-9s %4s %6s %-10s %-21s %9s %9s %s\n", "member", "status", "phase", "gen", "inc",
+              "zone", "address", "proof s", "since s", "suspected by");
+  for (const ordered_json& m : state.at("members")) {
+    const double proof = m.at("proof_s").is_null() ? -1 : m.at("proof_s").get<double>();
+    std::string by;
+    for (const ordered_json& accuser : m.at("suspected_by"))
+      by += (by.empty() ? "" : " ") + accuser.get<std::string>();
+    std::printf("%-20s %-10s %-9s %4u %6llu %-10s %-21s %9.1f %9.1f %s%s%s\n",
+                m.at("name").get<std::string>().c_str(), m.at("status").get<std::string>().c_str(),
+                m.at("phase").get<std::string>().c_str(), m.at("generation").get<unsigned>(),
+                m.at("incarnation").get<unsigned long long>(), m.at("zone").get<std::string>().c_str(),
+                m.at("address").get<std::string>().c_str(), proof, m.at("since_s").get<double>(), by.c_str(),
+                m.at("differs").get<bool>() ? " differs" : "", m.at("self").get<bool>() ? " (this one)" : "");
+  }
+  for (const ordered_json& name : state.at("contested"))
+    std::printf("CONTESTED: two processes serve as %s\n", name.get<std::string>().c_str());
+  const bool calm = state.at("suspected") == 0 && state.at("failed") == 0 && state.at("contested").empty() &&
+                    state.at("views_differ") == 0;
+  return calm ? 0 : kTroubled;
+}
+
+}  // namespace
+
+Fleet::Fleet(runtime::Loop& loop, const op::FleetSettings& settings, const std::string& name, std::uint64_t seed,
+             std::function<void(const peers::Standing&)> standing)
+    : loop_(loop),
+      settings_(settings),
+      standing_(std::move(standing)),
+      link_(loop, TermsOf(settings, name), seed, [this](const peers::Event& event) { Heard(event); }) {}
+
+void Fleet::Start() {
+  link_.Start();
+  spdlog::info("fleet {}: listens on {}, id {}", settings_.name, peerlink::Text(link_.address()),
+               Hex(link_.view().roster().self()));
+  loop_.Spawn(WriteState());
+}
+
+void Fleet::SetPhase(Operations::Phase phase) {
+  link_.SetPhase(phase == Operations::Phase::kServing  ? peers::Phase::kServing
+                 : phase == Operations::Phase::kEnding ? peers::Phase::kEnding
+                                                       : peers::Phase::kStarting);
+  TellStanding();
+}
+
+void Fleet::TellStanding() {
+  changed_ = true;
+  const peers::Standing now = link_.view().standing();
+  if (now == told_ || now.place < 0) return;
+  told_ = now;
+  standing_(now);
+}
+
+void Fleet::Heard(const peers::Event& event) {
+  const peers::Record& r = event.record;
+  const Member* by = link_.view().roster().Find(event.by);
+  spdlog::log(LevelOf(event.change),
+              "peers event={} name={} id={} generation={} incarnation={} phase={} address={} by={} mono_us={}",
+              peers::NameOf(event.change), r.name, Hex(r.id), r.generation, r.incarnation, NameOf(r.phase),
+              peerlink::Text(r.address), by == nullptr ? "-" : by->record.name, MonotonicUs());
+  if (event.change == Change::kContested)
+    spdlog::error("fleet: another process serves as {} too, at {}: one of the two has a wrong name", r.name,
+                  peerlink::Text(r.address));
+  TellStanding();
+}
+
+std::vector<std::pair<std::string, std::uint64_t>> Fleet::Figures() const {
+  const peers::View& view = link_.view();
+  const peerlink::Figures& f = link_.figures();
+  std::uint64_t suspected = 0, faults = 0;
+  for (const auto& [id, member] : view.roster().all()) suspected += member.status == Status::kSuspect;
+  for (const std::uint64_t count : f.faults) faults += count;
+  return {{"fleet.alive", view.roster().living() - suspected},
+          {"fleet.suspected", suspected},
+          {"fleet.failed", view.roster().failed().size()},
+          {"fleet.serving", static_cast<std::uint64_t>(view.standing().serving)},
+          {"fleet.differing", view.differing()},
+          {"fleet.health", static_cast<std::uint64_t>(view.health())},
+          {"fleet.sent", f.sent},
+          {"fleet.sent_bytes", f.sent_bytes},
+          {"fleet.unsent", f.unsent},
+          {"fleet.received", f.received},
+          {"fleet.exchanges", f.exchanges},
+          {"fleet.exchanges_failed", f.exchanges_failed},
+          {"fleet.refused", view.refused()},
+          {"fleet.dropped", faults}};
+}
+
+std::string Fleet::StateText() const {
+  const peers::View& view = link_.view();
+  const peers::Roster& roster = view.roster();
+  const runtime::Time now = runtime::Now();
+  const auto seconds = [now](runtime::Time since) { return std::chrono::duration<double>(now - since).count(); };
+  std::vector<const Member*> members;
+  std::size_t suspected = 0;
+  for (const auto& [id, member] : roster.all()) {
+    members.push_back(&member);
+    suspected += member.status == Status::kSuspect;
+  }
+  std::sort(members.begin(), members.end(), [](const Member* a, const Member* b) {
+    return std::tie(a->record.name, a->record.generation, a->record.id) <
+           std::tie(b->record.name, b->record.generation, b->record.id);
+  });
+  const peers::Standing standing = view.standing();
+  ordered_json out = {{"proxy", roster.own().record.name},
+                      {"fleet", settings_.name},
+                      {"at_unix_ms", UnixMs()},
+                      {"mono_us", MonotonicUs()},
+                      {"id", Hex(roster.self())},
+                      {"digest", Hex(roster.digest())},
+                      {"alive", roster.living() - suspected},
+                      {"suspected", suspected},
+                      {"failed", roster.failed().size()},
+                      {"serving", standing.serving},
+                      {"place", standing.place},
+                      {"health", view.health()},
+                      {"views_differ", view.differing()},
+                      {"contested", view.contested()},
+                      {"members", ordered_json::array()}};
+  for (const Member* m : members) {
+    const peers::Record& r = m->record;
+    ordered_json by = ordered_json::array();
+    if (m->status == Status::kSuspect) {
+      for (const peers::InstanceId id : m->accusers) {
+        const Member* accuser = roster.Find(id);
+        by.push_back(accuser == nullptr ? Hex(id) : accuser->record.name);
+      }
+    }
+    ordered_json attributes = ordered_json::object();
+    for (const peers::Attribute& a : r.attributes) attributes[a.key] = a.value;
+    const bool self = r.id == roster.self();
+    out["members"].push_back({{"name", r.name},
+                              {"id", Hex(r.id)},
+                              {"self", self},
+                              {"status", NameOf(m->status)},
+                              {"phase", NameOf(r.phase)},
+                              {"generation", r.generation},
+                              {"incarnation", r.incarnation},
+                              {"zone", r.zone},
+                              {"address", peerlink::Text(r.address)},
+                              {"proof_s", self ? ordered_json(0.0)
+                                          : m->proof ? ordered_json(seconds(*m->proof))
+                                                     : ordered_json()},
+                              {"since_s", self ? 0.0 : seconds(m->since)},
+                              {"suspected_by", std::move(by)},
+                              {"differs", view.Differs(r.id)},
+                              {"attributes", std::move(attributes)}});
+  }
+  return out.dump(-1, ' ', false, ordered_json::error_handler_t::replace) + "\n";
+}
+
+runtime::Task<> Fleet::WriteState() {
+  bool told = false;
+  for (int beat = 0; !settings_.state.empty(); ++beat, co_await loop_.Sleep(kStateBeat)) {
+    if (!changed_ && beat % kStateEvery != 0) continue;
+    changed_ = false;
+    const bool written = ReplaceFile(settings_.state, StateText());
+    if (!written && !told)
+      spdlog::warn("the state can't be written to {}: {}", settings_.state, std::strerror(errno));
+    told = !written;
+  }
+}
+
+int ShowPeers(const std::string& path, bool json) { return ShowFile(path, json, Print); }
+
+}  // namespace lemoncroft::cli
--- /dev/null
+++ b/src/cli/fleet.h
@@ -0,0 +1,50 @@
+// The view of the fleet in the running proxy: the link, its log lines, its figures and the file that operators
+// read. Made only where the operator's file has a `fleet`.
+#ifndef LEMONCROFT_CLI_FLEET_H_
+#define LEMONCROFT_CLI_FLEET_H_
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "cli/operations.h"
+#include "operator/operator_file.h"
+#include "peerlink/link.h"
+
+namespace lemoncroft::cli {
+
+class Fleet {
+ public:
+  // `standing`: called at each change of how many proxies serve and of this one's place among them.
+  Fleet(runtime::Loop& loop, const op::FleetSettings& settings, const std::string& name, std::uint64_t seed,
+        std::function<void(const peers::Standing&)> standing);
+
+  void Start();
+  void SetPhase(Operations::Phase phase);
+  runtime::Task<> Leave() { return link_.Leave(); }
+  std::vector<std::pair<std::string, std::uint64_t>> Figures() const;
+  const op::FleetSettings& settings() const { return settings_; }
+
+ private:
+  void Heard(const peers::Event& event);
+  void TellStanding();
+  std::string StateText() const;
+  runtime::Task<> WriteState();
+
+  runtime::Loop& loop_;
+  op::FleetSettings settings_;
+  std::function<void(const peers::Standing&)> standing_;
+  peers::Standing told_;
+  peerlink::Link link_;
+  bool changed_ = true;  // since the file was written
+};
+
+// Prints what the file tells; 0, or 1 where there is none, it can't be read or is no longer kept up to date, 3 where
+// members are suspected, failed or contested, or views differ.
+int ShowPeers(const std::string& path, bool json);
+
+}  // namespace lemoncroft::cli
+
+#endif  // LEMONCROFT_CLI_FLEET_H_
--- a/src/cli/operations.cpp
+++ b/src/cli/operations.cpp
@@ -23,7 +23,8 @@
     case Verb::kTelemetry:
       return {true,
               {},
-              counters_.Text({broker_.open(), directory_.size(), directory_.Avoided(broker_.Avoided())})};
+              counters_.Text({broker_.open(), directory_.size(), directory_.Avoided(broker_.Avoided()),
+                              more_ ? more_() : decltype(more_())()})};
     case Verb::kExclude:
     case Verb::kInclude:
       return ByHand(call);
--- a/src/cli/operations.h
+++ b/src/cli/operations.h
@@ -2,9 +2,12 @@
 #ifndef LEMONCROFT_CLI_OPERATIONS_H_
 #define LEMONCROFT_CLI_OPERATIONS_H_
 
+#include <functional>
 #include <memory>
 #include <set>
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "broker/broker.h"
 #include "handover/hand_marks.h"
@@ -23,8 +26,17 @@
       : loop_(loop), directory_(directory), broker_(broker), counters_(counters), tell_(std::move(tell)) {}
 
   management::Reply Answer(const management::Call& call);
-  void set_phase(Phase phase) { phase_ = phase; }
+  void set_phase(Phase phase) {
+    phase_ = phase;
+    if (on_phase) on_phase(phase);
+  }
   Phase phase() const { return phase_; }
+  std::function<void(Phase)> on_phase;  // told of each that begins
+
+  // Figures of a part that is switched on, told behind the others.
+  void AddFigures(std::function<std::vector<std::pair<std::string, std::uint64_t>>()> figures) {
+    more_ = std::move(figures);
+  }
 
   // From now on engines out by hand are kept in $TMPDIR, for the process that takes this one's place; what
   // one before has left there holds here. `warm`: how long a returned engine may be cold.
@@ -43,6 +55,7 @@
   membership::Directory::Tell tell_;
   std::unique_ptr<handover::HandMarks> marks_;  // null: not shared
   std::set<std::string> unkept_;                // out by hand, but without a mark
+  std::function<std::vector<std::pair<std::string, std::uint64_t>>()> more_;
   Phase phase_ = Phase::kStarting;
 };
 
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -13,6 +13,7 @@
 
 #include "backend/engines.h"
 #include "broker/broker.h"
+#include "cli/fleet.h"
 #include "cli/operations.h"
 #include "cli/state.h"
 #include "frontend/frame_server.h"
@@ -136,6 +137,7 @@
   membership::Directory::Tell tell;
   std::size_t most;   // requests open, where the settings name no number
   std::string state;  // file; empty: none
+  const op::FleetSettings* fleet = nullptr;  // null: off
   bool tidying = false;
 };
 
@@ -176,6 +178,10 @@
     op::OperatorFile file = ReadOperator(paths, succession.site);
     if (file.waiting.has_value() != (running.broker.line() != nullptr))
       throw ConfigError(paths.operator_file + ": waiting is switched on and off by a restart only");
+    if (file.fleet.has_value() != (running.fleet != nullptr))
+      throw ConfigError(paths.operator_file + ": fleet is switched on and off by a restart only");
+    if (file.fleet && *file.fleet != *running.fleet)
+      spdlog::warn("{}: fleet changes by a restart only; it stays as it was", paths.operator_file);
     TellWhatStays(config, running.config);
     PutInForce(running, std::move(succession));
     if (file.waiting) {
@@ -224,7 +230,7 @@
 // Lets what was taken come to its end. Who comes meanwhile is another process's where that holds the
 // listening socket too.
 Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker,
-           const settings::Site& site, bool shared) {
+           const settings::Site& site, bool shared, Fleet* fleet) {
   using Queue = frontend::FrameServer::Queue;
   const Time since = Now();
   spdlog::info("ending: {} requests open", broker.open());
@@ -248,6 +254,7 @@
   // Engines are still being told of what was given up: else it would run on for nobody.
   const Time last = Now() + kGiveUpFor;
   while (!broker.idle() && Now() < last) co_await loop.Sleep(kDrainBeat);
+  if (fleet != nullptr) co_await fleet->Leave();
   spdlog::info("ended");
   loop.Stop();
 }
@@ -342,9 +349,17 @@
     operations.ShareMarks(tmpdir, broker::ToSpan(site->module.warm_within + site->module.fall_window));
   // Before the list: what a cold engine takes may have been sent it just now.
   if (census && census->Look().holding.serves > 0) broker.TellBeside(2);
+  std::unique_ptr<Fleet> fleet;
+  if (file.fleet) {
+    fleet = std::make_unique<Fleet>(loop, *file.fleet, config.name, config.seed,
+                                    [](const peers::Standing&) {});
+    operations.on_phase = [&](Operations::Phase phase) { fleet->SetPhase(phase); };
+    operations.AddFigures([&] { return fleet->Figures(); });
+    fleet->Start();
+  }
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
   membership::Feed feed(loop, directory, config.feed, tell);
-  Running running{config, site, server, broker, engines, directory, feed, counters, tell, most, ""};
+  Running running{config, site, server, broker, engines, directory, feed, counters, tell, most, "", file.fleet ? &fleet->settings() : nullptr};
   if (file.waiting) {
     server.set_foretells(file.waiting->tell_clients);
     running.state = file.waiting->state;
@@ -374,7 +389,7 @@
       loop.Spawn(Tidy(loop, running));
     }
     operations.set_phase(Operations::Phase::kEnding);
-    co_await End(loop, server, broker, *site, shared);
+    co_await End(loop, server, broker, *site, shared, fleet.get());
   };
   loop.Spawn(handle_signals());
   spdlog::info("{} listens on {}", config.name, config.listen_text);
--- a/src/cli/state.cpp
+++ b/src/cli/state.cpp
@@ -19,13 +19,7 @@
 
 constexpr std::int64_t kOldMs = 5000;  // a state this old is of a proxy that has ended, or hangs
 
-std::int64_t UnixMs() {
-  return std::chrono::duration_cast<std::chrono::milliseconds>(
-             std::chrono::system_clock::now().time_since_epoch())
-      .count();
-}
-
-void Print(const ordered_json& state) {
+int Print(const ordered_json& state) {
   std::printf("%s: %zu wait, %zu handed over, %zu attempts run; %.0f cores, budgets at %.0f%%\n",
               state.at("proxy").get<std::string>().c_str(), state.at("waiting").get<std::size_t>(),
               state.at("handed").get<std::size_t>(), state.at("running").get<std::size_t>(),
@@ -40,10 +34,17 @@
                 team.at("taken").get<unsigned long long>(), team.at("handed").get<unsigned long long>(),
                 team.at("refused").get<unsigned long long>());
   }
+  return 0;
 }
 
 }  // namespace
 
+std::int64_t UnixMs() {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+             std::chrono::system_clock::now().time_since_epoch())
+      .count();
+}
+
 std::string StateText(const std::string& proxy, const waiting::Line::State& state) {
   ordered_json out = {{"proxy", proxy},
                       {"at_unix_ms", UnixMs()},
@@ -82,7 +83,7 @@
   return whole && std::rename(fresh.c_str(), path.c_str()) == 0;
 }
 
-int ShowState(const std::string& path, bool json) {
+int ShowFile(const std::string& path, bool json, const std::function<int(const ordered_json&)>& print) {
   std::ifstream file(path);
   std::ostringstream text;
   text << file.rdbuf();
@@ -92,12 +93,10 @@
     return 1;
   }
   try {
-    if (json)
-      std::fputs(text.str().c_str(), stdout);
-    else
-      Print(state);
+    if (json) std::fputs(text.str().c_str(), stdout);
+    const int code = json ? 0 : print(state);
     const std::int64_t age = UnixMs() - state.at("at_unix_ms").get<std::int64_t>();
-    if (age <= kOldMs) return 0;
+    if (age <= kOldMs) return code;
     std::fprintf(stderr, "lemoncroft: %s: %.0f s old, the proxy has ended or hangs\n", path.c_str(),
                  static_cast<double>(age) / 1000);
   } catch (const nlohmann::json::exception& e) {
@@ -106,4 +105,6 @@
   return 1;
 }
 
+int ShowState(const std::string& path, bool json) { return ShowFile(path, json, Print); }
+
 }  // namespace lemoncroft::cli
--- a/src/cli/state.h
+++ b/src/cli/state.h
@@ -3,6 +3,9 @@
 #ifndef LEMONCROFT_CLI_STATE_H_
 #define LEMONCROFT_CLI_STATE_H_
 
+#include <cstdint>
+#include <functional>
+#include <nlohmann/json_fwd.hpp>
 #include <string>
 
 #include "runtime/loop.h"
@@ -15,7 +18,14 @@
 // Replaces the file; false where it can't, with `errno` set.
 bool ReplaceFile(const std::string& path, const std::string& text);
 
-// Prints what the file tells; 0, or 1 where there is none, it can't be read or is no longer kept up to date.
+// Of the wall clock: for those who read the file, not for any decision.
+std::int64_t UnixMs();
+
+// Reads a state file and has it printed, as it is or by `print`, whose exit code is returned; 1 where there is none,
+// it can't be read or is no longer kept up to date.
+int ShowFile(const std::string& path, bool json, const std::function<int(const nlohmann::ordered_json&)>& print);
+
+// Prints what the file of the waiting line tells; 0, or 1 where there is none, it can't be read or is no longer kept up to date.
 int ShowState(const std::string& path, bool json);
 
 }  // namespace lemoncroft::cli
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -8,6 +8,7 @@
 #include <string>
 
 #include "cli/config.h"
+#include "cli/fleet.h"
 #include "cli/log.h"
 #include "cli/proxy.h"
 #include "cli/state.h"
@@ -53,6 +54,19 @@
   return RunProxy(config, {options.config, options.operator_file, Environment("PROXY_FD")});
 }
 
+// The file that a running proxy keeps up to date for the command, as its operator's file names it.
+std::string StateFile(const Options& options, const std::string& command) {
+  using namespace lemoncroft;
+  if (options.operator_file.empty()) throw cli::ConfigError(command + ": give --state or --operator");
+  const op::OperatorFile file =
+      op::LoadOperatorFile(options.operator_file, cli::LoadConfig(options.config).site);
+  std::string state;
+  if (command == "peers" && file.fleet) state = file.fleet->state;
+  if (command == "waiting" && file.waiting) state = file.waiting->state;
+  if (state.empty()) throw cli::ConfigError(options.operator_file + ": names no state file for " + command);
+  return state;
+}
+
 int Run(int argc, char** argv) {
   Options options;
   options.config = Environment("PROXY_CONFIG");
@@ -72,11 +86,14 @@
   app.add_subcommand("serve", "run the proxy (the default)")->fallthrough();
   auto* check = app.add_subcommand("check-config", "read the files, say what is wrong with them, and end");
   auto* waiting = app.add_subcommand("waiting", "show what waits at a running proxy, by team");
+  auto* peers = app.add_subcommand("peers", "show whom a running proxy holds for alive in its fleet");
   auto* version = app.add_subcommand("version", "print the version");
   auto* help = app.add_subcommand("help", "print this text");
-  for (CLI::App* command : {check, waiting, version, help}) command->fallthrough();
-  waiting->add_option("-s,--state", options.state, "the state file that the operator's file names");
-  waiting->add_flag("--json", options.json, "as JSON");
+  for (CLI::App* command : {check, waiting, peers, version, help}) command->fallthrough();
+  for (CLI::App* command : {waiting, peers}) {
+    command->add_option("-s,--state", options.state, "the state file that the operator's file names");
+    command->add_flag("--json", options.json, "as JSON");
+  }
   try {
     app.parse(argc, argv);
   } catch (const CLI::ParseError& e) {
@@ -88,18 +105,14 @@
   if (*help) return std::fputs(app.help().c_str(), stdout) < 0;
   if (*version) return std::printf("lemoncroft %s\n", kVersion) < 0;
   lemoncroft::cli::SetUpLog(options.log_level, options.log_format == "json");
-  if (options.config.empty() && !(*waiting && !options.state.empty()))
+  const bool shows = *waiting || *peers;
+  if (options.config.empty() && !(shows && !options.state.empty()))
     throw lemoncroft::cli::ConfigError("no configuration: give --config or set PROXY_CONFIG");
-  if (*waiting && options.state.empty()) {
-    if (options.operator_file.empty())
-      throw lemoncroft::cli::ConfigError("waiting: give --state or --operator");
-    const auto config = lemoncroft::cli::LoadConfig(options.config);
-    const auto file = lemoncroft::op::LoadOperatorFile(options.operator_file, config.site);
-    if (file.waiting) options.state = file.waiting->state;
-    if (options.state.empty())
-      throw lemoncroft::cli::ConfigError(options.operator_file + ": names no state file");
+  if (shows) {
+    if (options.state.empty()) options.state = StateFile(options, *peers ? "peers" : "waiting");
+    return *peers ? lemoncroft::cli::ShowPeers(options.state, options.json)
+                  : lemoncroft::cli::ShowState(options.state, options.json);
   }
-  if (*waiting) return lemoncroft::cli::ShowState(options.state, options.json);
   return *check ? CheckConfig(options) : Serve(options);
 }
 
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -7,6 +7,7 @@
 #include <sstream>
 
 #include "operator/fields.h"
+#include "operator/fleet_block.h"
 
 namespace lemoncroft::op {
 
@@ -151,7 +152,8 @@
   Faults faults;
   try {
     const std::vector<KdlNode> nodes = codec::ReadKdl(text);
-    const Known known = {{"waiting", [&](const KdlNode& n) { file.waiting = ReadWaiting(n, site, faults); }}};
+    const Known known = {{"waiting", [&](const KdlNode& n) { file.waiting = ReadWaiting(n, site, faults); }},
+                         {"fleet", [&](const KdlNode& n) { file.fleet = ReadFleet(n, faults); }}};
     ReadBlock(nodes, known, {}, faults);
   } catch (const codec::KdlError& e) {
     const std::string what = e.what();
--- a/src/operator/operator_file.h
+++ b/src/operator/operator_file.h
@@ -1,8 +1,8 @@
 // The operator's file, deploy/operator.kdl: what is switched on beyond the platform's own configuration.
 //
 // A typed layer over KDL. Everything that is wrong is told at once, each with its line and column: nodes that
-// are not known, values of another kind, times without a unit, contradictions. docs/operating-waiting.md
-// tells what each setting does.
+// are not known, values of another kind, times without a unit, contradictions. docs/operating-waiting.md and
+// docs/operating-peers.md tell what each setting does.
 #ifndef LEMONCROFT_OPERATOR_OPERATOR_FILE_H_
 #define LEMONCROFT_OPERATOR_OPERATOR_FILE_H_
 
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "codec/kdl.h"
+#include "peers/settings.h"
 #include "settings/settings.h"
 #include "waiting/types.h"
 
@@ -35,8 +36,18 @@
   std::string state;          // the file that `lemoncroft waiting` reads; empty: none is written
 };
 
+struct FleetSettings {
+  std::string name;                                 // of the fleet
+  std::vector<peers::Endpoint> listen, advertise;  // as many of each
+  std::string zone;
+  peers::Settings view;
+  std::string state;  // the file that `lemoncroft peers` reads; empty: none is written
+  bool operator==(const FleetSettings&) const = default;
+};
+
 struct OperatorFile {
   std::optional<WaitingSettings> waiting;  // none: off
+  std::optional<FleetSettings> fleet;      // likewise
 };
 
 // Reads a file's text against the site that it is for. Throws OperatorError.
--- /dev/null
+++ b/src/peerlink/link.h
@@ -0,0 +1,83 @@
+// The way between proxies: a View on the loop's sockets. Datagrams carry probes and news, streams the exchanges.
+//
+// Contract. Nothing here waits for a peer but in a task of its own, with a deadline; datagrams that can't be
+// sent at once are dropped (the newest news is told again), streams are few and bounded, and what comes is read in
+// bounded turns. Everything that is wrong with a peer's bytes is counted, never thrown.
+// Owner: the proxy's wiring; one loop. Units: spans of time, bytes. Errors: std::system_error from the constructor
+// where none of the addresses can be bound. Source: docs/peers.md.
+#ifndef LEMONCROFT_PEERLINK_LINK_H_
+#define LEMONCROFT_PEERLINK_LINK_H_
+
+#include <array>
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "peerlink/frame.h"
+#include "peers/view.h"
+#include "runtime/datagram.h"
+
+namespace lemoncroft::peerlink {
+
+struct Terms {
+  std::string fleet;
+  std::string name, zone;
+  std::vector<peers::Endpoint> listen, advertise;  // as many of each; the first that is free is taken
+  peers::Settings view;
+};
+
+struct Figures {
+  std::uint64_t sent = 0, sent_bytes = 0, unsent = 0;  // datagrams
+  std::uint64_t received = 0, exchanges = 0, exchanges_failed = 0;
+  std::array<std::uint64_t, kFaults> faults{};
+};
+
+runtime::Address ToAddress(const peers::Endpoint& endpoint);
+peers::Endpoint ToEndpoint(const runtime::Address& address);
+std::string Text(const peers::Endpoint& endpoint);
+
+class Link {
+ public:
+  using Heard = std::function<void(const peers::Event&)>;
+  // `heard` is told each event of the view, in order, outside of any call to this object.
+  Link(runtime::Loop& loop, const Terms& terms, std::uint64_t seed, Heard heard);
+
+  void Start();
+  void SetPhase(peers::Phase phase);
+  // Says that this process ends, and gives the word a moment to go out.
+  runtime::Task<> Leave();
+
+  const peers::View& view() const { return view_; }
+  const Figures& figures() const { return figures_; }
+  const peers::Endpoint& address() const { return listen_; }
+
+ private:
+  runtime::Task<> Hear();
+  runtime::Task<> Beat();
+  runtime::Task<> Accept();
+  runtime::Task<> Serve(std::unique_ptr<runtime::Socket> socket);
+  runtime::Task<> Exchange(peers::Endpoint to);
+  runtime::Task<bool> ReadFrame(runtime::Socket& socket, std::string& frame, runtime::Time deadline);
+  runtime::Task<bool> WriteFrame(runtime::Socket& socket, const Message& message, runtime::Time deadline);
+  std::variant<Message, Fault> Read(std::string_view frame, std::size_t most);
+  // Carries out what the view wants, and has the next step come in time.
+  void Pump();
+
+  runtime::Loop& loop_;
+  std::string fleet_;
+  peers::Endpoint listen_;
+  std::unique_ptr<runtime::DatagramSocket> datagrams_;
+  std::unique_ptr<runtime::Listener> streams_;
+  peers::View view_;
+  Heard heard_;
+  Figures figures_;
+  runtime::Gate sooner_;
+  runtime::Time planned_ = runtime::kNever;
+  std::size_t in_ = 0, out_ = 0;
+};
+
+}  // namespace lemoncroft::peerlink
+
+#endif  // LEMONCROFT_PEERLINK_LINK_H_
--- /dev/null
+++ b/src/peers/types.h
@@ -0,0 +1,132 @@
+// What proxies tell each other of themselves and of others: records, news, messages.
+//
+// Contract. Plain values, no I/O, no clock; docs/peers.md tells what they mean and which of two wins. Lengths
+// are checked by whoever takes them from a peer (Fits); times are of the caller's monotonic clock and never
+// cross the wire. Owner: none. Errors: none.
+// Source: SWIM (Das, Gupta, Motivala, DSN 2002); Lifeguard (Dadgar, Phillips, Currey, DSN-W 2018).
+#ifndef LEMONCROFT_PEERS_TYPES_H_
+#define LEMONCROFT_PEERS_TYPES_H_
+
+#include <array>
+#include <chrono>
+#include <compare>
+#include <cstddef>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lemoncroft::peers {
+
+using Span = std::chrono::nanoseconds;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Span>;
+inline constexpr Time kNever = Time::max();
+
+// One process: drawn at its start, never again.
+using InstanceId = std::uint64_t;
+inline constexpr InstanceId kNobody = 0;
+
+// Bounds on what a record may hold, in bytes and in number.
+inline constexpr std::size_t kNameMost = 64, kZoneMost = 32;
+inline constexpr std::size_t kAttributesMost = 8, kKeyMost = 32, kValueMost = 64;
+// How far one message may move an incarnation, so that a lie can't use the numbers up.
+inline constexpr std::uint64_t kIncarnationLeap = std::uint64_t{1} << 20;
+inline constexpr std::uint64_t kIncarnationMost = std::uint64_t{1} << 60;
+// Bytes of one datagram, its frame included.
+inline constexpr std::size_t kDatagramMost = 1400;
+
+// IPv4, in the host's byte order.
+struct Endpoint {
+  std::uint32_t host = 0;
+  std::uint16_t port = 0;
+  auto operator<=>(const Endpoint&) const = default;
+  explicit operator bool() const { return port != 0; }
+};
+
+enum class Phase : std::uint8_t { kStarting, kServing, kEnding };
+
+struct Attribute {
+  std::string key, value;
+  bool operator==(const Attribute&) const = default;
+};
+
+// What an instance says of itself; each change has a higher incarnation.
+struct Record {
+  InstanceId id = kNobody;
+  std::string name;
+  Endpoint address;  // as advertised
+  std::string zone;
+  Phase phase = Phase::kStarting;
+  std::uint32_t generation = 1;  // of the processes of this name, the newest has the highest
+  std::uint64_t incarnation = 1;
+  std::vector<Attribute> attributes;
+  bool operator==(const Record&) const = default;
+};
+
+// Whether a record that a peer sent keeps the bounds.
+bool Fits(const Record& record);
+
+enum class Status : std::uint8_t { kAlive, kSuspect, kFailed, kLeft };
+
+// Of kAlive the record is whole; of the others only its id and incarnation count.
+struct News {
+  Status status = Status::kAlive;
+  Record record;
+  InstanceId from = kNobody;  // who suspects, or who saw it fail
+};
+
+// At the most so many bytes on the wire.
+std::size_t EncodedMost(const Record& record);
+std::size_t EncodedMost(const News& news);
+
+struct Ping {
+  std::uint32_t number = 0;
+  InstanceId target = kNobody;  // kNobody: whoever is at the address
+};
+// Please ping it for me.
+struct PingRequest {
+  std::uint32_t number = 0;
+  InstanceId target = kNobody;
+  Endpoint address;
+};
+struct Ack {
+  std::uint32_t number = 0;
+  InstanceId of = kNobody;  // who was reached: the sender, or whom it pinged for the receiver
+};
+// Whom you asked for has not answered me in time; but I have answered you.
+struct Nack {
+  std::uint32_t number = 0;
+};
+// The address that you pinged is mine; whom you look for is not here.
+struct Stranger {
+  std::uint32_t number = 0;
+};
+struct Gossip {};
+
+using Body = std::variant<Ping, PingRequest, Ack, Nack, Stranger, Gossip>;
+
+struct Datagram {
+  Record sender;
+  std::uint64_t digest = 0;  // of whom the sender holds alive
+  Body body;
+  std::vector<News> news;
+};
+
+// ---- Exchanges over a stream: the opener's sums, the answerer's sums and entries, the opener's entries ----
+
+inline constexpr std::size_t kBuckets = 32;
+using Sums = std::array<std::uint64_t, kBuckets>;
+
+struct Opening {
+  Record sender;
+  Sums sums{};
+};
+struct Entries {
+  Record sender;
+  Sums sums{};
+  std::vector<News> entries;  // of the buckets that differ
+};
+
+}  // namespace lemoncroft::peers
+
+#endif  // LEMONCROFT_PEERS_TYPES_H_
--- /dev/null
+++ b/src/runtime/datagram.cpp
@@ -0,0 +1,49 @@
+#include "runtime/datagram.h"
+
+#include <sys/socket.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <system_error>
+
+namespace lemoncroft::runtime {
+namespace {
+
+constexpr auto kPause = std::chrono::milliseconds(10);  // after an error
+
+Descriptor Bound(const Address& address) {
+  Descriptor fd(::socket(AF_INET, SOCK_DGRAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
+  if (!fd) throw std::system_error(errno, std::generic_category(), "socket");
+  if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&address.raw), sizeof address.raw) != 0)
+    throw std::system_error(errno, std::generic_category(), "cannot bind datagrams to " + address.Text());
+  return fd;
+}
+
+}  // namespace
+
+DatagramSocket::DatagramSocket(Loop& loop, const Address& address) : loop_(loop), fd_(Bound(address)) {
+  loop_.Watch(fd_.get(), &watched_);
+}
+
+Task<DatagramSocket::Received> DatagramSocket::Receive(Cancellation* cancel) {
+  for (;;) {
+    const ssize_t n = ::recv(fd_.get(), buffer_, sizeof buffer_, MSG_TRUNC);
+    if (n >= 0) {
+      const std::size_t size = static_cast<std::size_t>(n);
+      co_return Received{Io::kOk, {buffer_, std::min(size, sizeof buffer_)}, size <= sizeof buffer_};
+    }
+    // What isn't "nothing there" may come again at once (no memory): it must not keep the loop from others.
+    const bool empty = errno == EAGAIN || errno == EWOULDBLOCK;
+    const Time again = empty ? kNever : Now() + kPause;
+    const Wake wake = co_await Waiter(loop_, &watched_.readable, again, cancel);
+    if (wake == Wake::kCancelled) co_return Received{Io::kCancelled, {}, true};
+  }
+}
+
+bool DatagramSocket::Send(std::string_view bytes, const Address& to) {
+  const auto* raw = reinterpret_cast<const sockaddr*>(&to.raw);
+  return ::sendto(fd_.get(), bytes.data(), bytes.size(), MSG_NOSIGNAL, raw, sizeof to.raw) ==
+         static_cast<ssize_t>(bytes.size());
+}
+
+}  // namespace lemoncroft::runtime
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -127,10 +127,16 @@
   return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && WouldBlock(errno);
 }
 
-Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out) {
+Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out,
+                 std::optional<Address> from) {
   Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
   if (!fd) co_return Io::kNoDescriptors;
   SetOption(fd.get(), IPPROTO_TCP, TCP_NODELAY);
+  if (from) {
+    from->raw.sin_port = 0;
+    if (::bind(fd.get(), reinterpret_cast<const sockaddr*>(&from->raw), sizeof from->raw) != 0)
+      co_return Io::kClosed;
+  }
   // Watched only once the handshake is under way: before it, epoll reports a socket as hung up.
   const int failed = ::connect(fd.get(), reinterpret_cast<const sockaddr*>(&to.raw), sizeof to.raw);
   if (failed != 0 && errno != EINPROGRESS) co_return errno == ECONNREFUSED ? Io::kRefused : Io::kClosed;
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -40,15 +40,18 @@
 
  private:
   friend class Listener;
-  friend Task<Io> Connect(Loop&, Address, Time, Cancellation*, std::unique_ptr<Socket>&);
+  friend Task<Io> Connect(Loop&, Address, Time, Cancellation*, std::unique_ptr<Socket>&,
+                          std::optional<Address>);
 
   Loop& loop_;
   Watched watched_;
   Descriptor fd_;
 };
 
-// kRefused, kTimeout, kCancelled, kClosed (unreachable) and kNoDescriptors leave `out` empty.
-Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out);
+// kRefused, kTimeout, kCancelled, kClosed (unreachable) and kNoDescriptors leave `out` empty. `from`: the host that
+// it comes from, at any port of it.
+Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out,
+                 std::optional<Address> from = std::nullopt);
 
 // The listening socket that this process was started with as that descriptor, made fit for a Listener. Throws
 // std::runtime_error, which says what is wrong, where there is none. Before anything else is opened: what the
--- /dev/null
+++ b/src/standin/links.h
@@ -0,0 +1,67 @@
+// A stand-in for the links between proxies, in virtual time: every directed pair loses, delays, reorders,
+// duplicates, garbles or cuts what is sent over it.
+//
+// Deterministic for a seed; owned by one simulation. Times are spans from its start. What is sent is bytes:
+// nobody sees another's memory. Not modelled: bandwidth.
+#ifndef LEMONCROFT_STANDIN_LINKS_H_
+#define LEMONCROFT_STANDIN_LINKS_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <random>
+#include <string>
+#include <utility>
+
+namespace lemoncroft::standin {
+
+using Instant = std::chrono::nanoseconds;  // since the start of the simulation
+using Node = std::uint32_t;
+
+struct LinkFaults {
+  double loss = 0, duplicate = 0, garble = 0;  // parts of what is sent
+  Instant delay = std::chrono::microseconds(200), spread = std::chrono::microseconds(300);
+  bool cut = false;
+};
+
+class Links {
+ public:
+  explicit Links(std::uint64_t seed) : random_(seed) {}
+
+  LinkFaults& usual() { return usual_; }
+  void Set(Node from, Node to, const LinkFaults& faults) { special_[{from, to}] = faults; }
+  void Cut(Node from, Node to, bool cut);
+  // Nodes of different sides don't hear each other; a node without a side hears all. Heal: all sides end.
+  void Side(Node node, int side) { sides_[node] = side; }
+  void Heal();
+
+  bool Open(Node from, Node to) const;  // a stream could be opened, and what is sent would come
+  // Calls `arrives(at, bytes)` for each copy that will come.
+  template <typename F>
+  void Send(Instant now, Node from, Node to, const std::string& bytes, F&& arrives) {
+    const LinkFaults& faults = Of(from, to);
+    if (!Open(from, to) || Draw() < faults.loss) return;
+    const int copies = Draw() < faults.duplicate ? 2 : 1;
+    for (int i = 0; i < copies; ++i) {
+      std::string copy = bytes;
+      if (Draw() < faults.garble && !copy.empty())
+        copy[random_() % copy.size()] ^= static_cast<char>(1 << random_() % 8);
+      arrives(now + faults.delay + Instant(static_cast<std::int64_t>(
+                                       Draw() * static_cast<double>(faults.spread.count()))),
+              std::move(copy));
+    }
+  }
+
+ private:
+  const LinkFaults& Of(Node from, Node to) const;
+  double Draw() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
+
+  std::mt19937_64 random_;
+  LinkFaults usual_;
+  std::map<std::pair<Node, Node>, LinkFaults> special_;
+  std::map<Node, int> sides_;
+};
+
+}  // namespace lemoncroft::standin
+
+#endif  // LEMONCROFT_STANDIN_LINKS_H_
--- /dev/null
+++ b/src/standin/peer_fleet.h
@@ -0,0 +1,131 @@
+// A fleet of views in virtual time: the state machine and the frames that the program runs, on stand-in links
+// and clocks that run apart, with processes that crash, stall, leave, restart and are replaced.
+//
+// Deterministic: the same seed and calls give the same trace, byte by byte. Owned by one test or measurement.
+// Times are spans from the start, of true time; each process has a clock of its own. Not modelled: processor
+// time, bandwidth, full send buffers.
+#ifndef LEMONCROFT_STANDIN_PEER_FLEET_H_
+#define LEMONCROFT_STANDIN_PEER_FLEET_H_
+
+#include <deque>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <queue>
+#include <random>
+#include <string>
+#include <vector>
+
+#include "peerlink/frame.h"
+#include "peers/view.h"
+#include "standin/links.h"
+
+namespace lemoncroft::standin {
+
+using Process = std::size_t;  // in the order of their starts
+
+class PeerFleet {
+ public:
+  struct Plan {
+    std::uint64_t seed = 1;
+    peers::Settings settings;
+    double drift = 0.01;  // clocks run up to so much fast or slow
+  };
+  struct Seen {  // an event of a process's view
+    Instant at{};
+    Process process = 0;
+    peers::Event event;
+  };
+  struct Sent {
+    std::uint64_t messages = 0, bytes = 0;
+  };
+
+  explicit PeerFleet(const Plan& plan);
+
+  // Starts a process on a machine (one address each; `second`: beside one that lives there). Its seeds are
+  // machines.
+  Process Start(Node machine, const std::string& name, const std::vector<Node>& seeds, bool second = false);
+  // All that live know each other from here on, as after joins long ago.
+  void Introduce();
+  void Kill(Process process);
+  void Leave(Process process);  // says so, and ends a gossip beat later
+  void Stall(Process process, Instant span);
+  void Say(Process process, peers::Phase phase);
+  void RunTo(Instant until);
+  void RunFor(Instant span) { RunTo(now_ + span); }
+
+  // Bytes that come to an address as if from nobody that this fleet knows.
+  void Inject(Node machine, const std::string& bytes);
+
+  // Every live process holds just the live ones for alive; with one of their records each.
+  bool Agreed() const;
+  // Runs until they agree, at most `patience`; how long it took, none where they did not.
+  std::optional<Instant> SettleWithin(Instant patience);
+
+  Links& links() { return links_; }
+  Instant now() const { return now_; }
+  bool lives(Process p) const { return processes_[p].view != nullptr; }
+  std::size_t size() const { return processes_.size(); }
+  std::size_t living() const { return living_; }
+  peers::View& view(Process p) { return *processes_[p].view; }
+  const peers::View& view(Process p) const { return *processes_[p].view; }
+  peers::InstanceId id(Process p) const { return processes_[p].id; }
+  const Sent& sent(Process p) const { return processes_[p].sent; }
+  std::optional<Process> process_of(peers::InstanceId id) const;
+  std::uint64_t trace() const { return trace_; }
+  peers::Span Period() const { return plan_.settings.period; }
+  // Called for each event as it happens.
+  std::function<void(const Seen&)> on_event;
+  // Called for each datagram as it is sent: sees the real bytes.
+  std::function<void(Process, const std::string&)> on_sent;
+
+ private:
+  enum class Kind { kStep, kDatagram, kStream, kEnd };
+  struct Happening {
+    Instant at{};
+    std::uint64_t order = 0;
+    Kind kind = Kind::kStep;
+    Process process = 0;
+    Process from = 0;  // of a stream
+    std::string bytes;
+    bool operator>(const Happening& other) const {
+      return at != other.at ? at > other.at : order > other.order;
+    }
+  };
+  struct Running {
+    std::unique_ptr<peers::View> view;  // null: ended
+    peers::InstanceId id = peers::kNobody;
+    Node machine = 0;
+    peers::Endpoint address;
+    double rate = 1;
+    peers::Time origin{};
+    Instant held_until{};
+    Instant step_at = Instant::max();
+    Sent sent;
+  };
+
+  static peers::Endpoint At(Node machine, bool second);
+  peers::Time Local(const Running& r, Instant at) const;
+  Instant True(const Running& r, peers::Time local) const;
+  void Put(Instant at, Kind kind, Process process, Process from = 0, std::string bytes = {});
+  void Handle(Happening& happening);
+  void Carry(Process process);  // carries out what the view wants
+  void Count(Process process, std::size_t bytes);
+  void Trace(Process process, const std::string& bytes);
+
+  Plan plan_;
+  std::mt19937_64 random_;
+  Links links_;
+  Instant now_{};
+  std::uint64_t order_ = 0, trace_ = 0;
+  std::priority_queue<Happening, std::vector<Happening>, std::greater<>> queue_;
+  std::deque<Running> processes_;
+  std::map<peers::Endpoint, Process> tenants_;
+  std::map<peers::InstanceId, Process> ids_;
+  std::size_t living_ = 0;
+};
+
+}  // namespace lemoncroft::standin
+
+#endif  // LEMONCROFT_STANDIN_PEER_FLEET_H_
--- a/src/telemetry/counters.cpp
+++ b/src/telemetry/counters.cpp
@@ -42,6 +42,7 @@
   line("pool_ejected", gauges.pool_ejected);
   line("config_applied", applied_);
   line("config_rejected", rejected_);
+  for (const auto& [name, value] : gauges.more) line(name, value);
   return text + "--\n";
 }
 
--- a/src/telemetry/counters.h
+++ b/src/telemetry/counters.h
@@ -9,6 +9,8 @@
 #include <cstdint>
 #include <map>
 #include <string>
+#include <utility>
+#include <vector>
 
 namespace lemoncroft::telemetry {
 
@@ -25,6 +27,7 @@
   std::size_t active = 0;        // requests taken and not ended
   std::size_t pool_size = 0;     // engines listed
   std::size_t pool_ejected = 0;  // of these, those that are avoided, by hand or by choice
+  std::vector<std::pair<std::string, std::uint64_t>> more;  // of parts that are switched on
 };
 
 class Counters {
