Play trials on real proxies: a rig with a relay on every link, and a checked history

Change: src/trial (processes ended by id and by the kernel if the rig dies first, relay of datagrams and streams over stand-in links, KDL scripts or drawn ones, history in one clock, rules checked afterwards, void where the machine held the rig or a proxy); members known by hearsay have probes of their own, so that invented names don't delay those of real ones.

--- a/src/peers/settings.h
+++ b/src/peers/settings.h
@@ -48,6 +48,7 @@
 inline constexpr double kSuspicionMost = 3;       // times that, while nobody confirms
 inline constexpr std::size_t kConfirmations = 3;  // bring it to the least
 inline constexpr double kSecondOpinions = 3;      // members that look into a suspicion, of the whole fleet
+inline constexpr std::size_t kHearsayProbes = 3;    // a period, of members known by hearsay alone
 inline constexpr int kHealthMost = 8;
 inline constexpr int kRetryEvery = 2;            // one of those who failed
 inline constexpr int kSeedEvery = 8;             // a seed that isn't in the view
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -256,20 +256,32 @@
   if (set_.guards.local_health) health_ = std::clamp(health_ + change, 0, kHealthMost);
 }
 
+// One of those that gave proof of life, as ever; and beside it some who are known by hearsay alone, so that a
+// thousand invented names neither delay the probes of the others nor stay for long.
 void View::ProbeNext(Time now) {
   next_probe_ = now + set_.period * (1 + health_);
   if (left_) return;
-  while (!round_.empty()) {
-    const Member* member = roster_.Find(round_.back());
-    round_.pop_back();
-    if (member != nullptr && member->living()) return StartProbe(now, *member, std::nullopt);
+  if (const auto id = NextOf(round_, true)) StartProbe(now, *roster_.Find(*id), std::nullopt);
+  for (std::size_t i = 0; i < kHearsayProbes; ++i)
+    if (const auto id = NextOf(hearsay_, false)) StartProbe(now, *roster_.Find(*id), std::nullopt);
+}
+
+std::optional<InstanceId> View::NextOf(std::vector<InstanceId>& round, bool proven) {
+  const auto fits = [&](InstanceId id) {
+    const Member* member = roster_.Find(id);
+    return member != nullptr && member->living() && member->proof.has_value() == proven;
+  };
+  for (int refills = 0; refills < 2; ++refills) {
+    while (!round.empty()) {
+      const InstanceId id = round.back();
+      round.pop_back();
+      if (fits(id)) return id;
+    }
+    for (const InstanceId id : roster_.others())
+      if (fits(id)) round.push_back(id);
+    for (std::size_t i = round.size(); i > 1; --i) std::swap(round[i - 1], round[Below(i)]);
   }
-  round_ = roster_.others();
-  for (std::size_t i = round_.size(); i > 1; --i) std::swap(round_[i - 1], round_[Below(i)]);
-  if (round_.empty()) return;
-  const Member& member = *roster_.Find(round_.back());
-  round_.pop_back();
-  StartProbe(now, member, std::nullopt);
+  return std::nullopt;
 }
 
 void View::StartProbe(Time now, const Member& member, std::optional<Claim> claim) {
@@ -523,8 +535,9 @@
     return;
   }
   // A place in this round, anywhere in it.
-  round_.push_back(record.id);
-  std::swap(round_.back(), round_[Below(round_.size())]);
+  std::vector<InstanceId>& round = direct ? round_ : hearsay_;
+  round.push_back(record.id);
+  std::swap(round.back(), round[Below(round.size())]);
   if (!bulk) news_.Push({Status::kAlive, record, kNobody});
   Tell(Change::kJoined, record);
   // An address is one process's at a time; where the newcomer is real, who had it before is gone.
--- a/src/peers/view.h
+++ b/src/peers/view.h
@@ -128,6 +128,8 @@
 
   // Probes.
   void ProbeNext(Time now);
+  // The next of a round, which begins again at its end, of those with or without proof of life.
+  std::optional<InstanceId> NextOf(std::vector<InstanceId>& round, bool proven);
   void StartProbe(Time now, const Member& member, std::optional<Claim> claim);
   void AdvanceProbes(Time now);
   void ProbeFailed(Time now, const Probe& probe);
@@ -184,7 +186,7 @@
   bool left_ = false;
   std::optional<Time> joined_;
 
-  std::vector<InstanceId> round_;  // whom this round of probes has still to reach
+  std::vector<InstanceId> round_, hearsay_;  // whom these rounds of probes have still to reach
   std::uint32_t number_;
   std::map<std::uint32_t, Probe> probes_;
   std::map<std::uint32_t, Asked> asked_;
--- a/src/runtime/datagram.cpp
+++ b/src/runtime/datagram.cpp
@@ -27,16 +27,19 @@
 
 Task<DatagramSocket::Received> DatagramSocket::Receive(Cancellation* cancel) {
   for (;;) {
-    const ssize_t n = ::recv(fd_.get(), buffer_, sizeof buffer_, MSG_TRUNC);
+    Address from;
+    socklen_t length = sizeof from.raw;
+    const ssize_t n = ::recvfrom(fd_.get(), buffer_, sizeof buffer_, MSG_TRUNC,
+                                 reinterpret_cast<sockaddr*>(&from.raw), &length);
     if (n >= 0) {
       const std::size_t size = static_cast<std::size_t>(n);
-      co_return Received{Io::kOk, {buffer_, std::min(size, sizeof buffer_)}, size <= sizeof buffer_};
+      co_return Received{Io::kOk, {buffer_, std::min(size, sizeof buffer_)}, size <= sizeof buffer_, from};
     }
     // What isn't "nothing there" may come again at once (no memory): it must not keep the loop from others.
     const bool empty = errno == EAGAIN || errno == EWOULDBLOCK;
     const Time again = empty ? kNever : Now() + kPause;
     const Wake wake = co_await Waiter(loop_, &watched_.readable, again, cancel);
-    if (wake == Wake::kCancelled) co_return Received{Io::kCancelled, {}, true};
+    if (wake == Wake::kCancelled) co_return Received{Io::kCancelled, {}, true, {}};
   }
 }
 
--- a/src/runtime/datagram.h
+++ b/src/runtime/datagram.h
@@ -22,6 +22,7 @@
     Io io = Io::kOk;
     std::string_view bytes;
     bool whole = true;
+    Address from;
   };
   static constexpr std::size_t kMost = 2048;
   Task<Received> Receive(Cancellation* cancel = nullptr);
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -127,6 +127,13 @@
   return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && WouldBlock(errno);
 }
 
+Address Socket::peer() const {
+  Address out;
+  socklen_t size = sizeof out.raw;
+  ::getpeername(fd_.get(), reinterpret_cast<sockaddr*>(&out.raw), &size);
+  return out;
+}
+
 Task<Io> Connect(Loop& loop, Address to, Time deadline, Cancellation* cancel, std::unique_ptr<Socket>& out,
                  std::optional<Address> from) {
   Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -37,6 +37,7 @@
   // True while the peer has neither closed nor sent anything: a pooled connection that is fit for use.
   bool Quiet() const;
   int fd() const { return fd_.get(); }
+  Address peer() const;
 
  private:
   friend class Listener;
--- a/src/standin/links.cpp
+++ b/src/standin/links.cpp
@@ -12,6 +12,11 @@
   special_.clear();
 }
 
+void Links::Garble(Node from, Node to, std::string& bytes) {
+  if (Draw() < Of(from, to).garble && !bytes.empty())
+    bytes[random_() % bytes.size()] ^= static_cast<char>(1 << random_() % 8);
+}
+
 const LinkFaults& Links::Of(Node from, Node to) const {
   if (special_.empty()) return usual_;
   const auto it = special_.find({from, to});
@@ -21,7 +26,8 @@
 bool Links::Open(Node from, Node to) const {
   if (Of(from, to).cut) return false;
   const auto a = sides_.find(from), b = sides_.find(to);
-  return a == sides_.end() || b == sides_.end() || a->second == b->second;
+  if (a == sides_.end() || b == sides_.end()) return true;
+  return std::any_of(a->second.begin(), a->second.end(), [&](int side) { return b->second.contains(side); });
 }
 
 }  // namespace lemoncroft::standin
--- a/src/standin/links.h
+++ b/src/standin/links.h
@@ -2,14 +2,16 @@
 // duplicates, garbles or cuts what is sent over it.
 //
 // Deterministic for a seed; owned by one simulation. Times are spans from its start. What is sent is bytes:
-// nobody sees another's memory. Not modelled: bandwidth.
+// nobody sees another's memory.
 #ifndef LEMONCROFT_STANDIN_LINKS_H_
 #define LEMONCROFT_STANDIN_LINKS_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -21,6 +23,7 @@
 struct LinkFaults {
   double loss = 0, duplicate = 0, garble = 0;  // parts of what is sent
   Instant delay = std::chrono::microseconds(200), spread = std::chrono::microseconds(300);
+  double bandwidth = 0;  // bytes a second; 0: no limit. What would wait for over a second is lost.
   bool cut = false;
 };
 
@@ -31,21 +34,30 @@
   LinkFaults& usual() { return usual_; }
   void Set(Node from, Node to, const LinkFaults& faults) { special_[{from, to}] = faults; }
   void Cut(Node from, Node to, bool cut);
-  // Nodes of different sides don't hear each other; a node without a side hears all. Heal: all sides end.
-  void Side(Node node, int side) { sides_[node] = side; }
-  void Heal();
+  // Nodes that share no side don't hear each other; a node without a side hears all. A node may be on two: a
+  // bridge.
+  void Side(Node node, int side) { sides_[node].insert(side); }
+  void Heal();  // all sides and all that was set or cut
 
+  const LinkFaults& Of(Node from, Node to) const;
   bool Open(Node from, Node to) const;  // a stream could be opened, and what is sent would come
+  void Garble(Node from, Node to, std::string& bytes);  // now and then, by one bit
   // Calls `arrives(at, bytes)` for each copy that will come.
   template <typename F>
   void Send(Instant now, Node from, Node to, const std::string& bytes, F&& arrives) {
     const LinkFaults& faults = Of(from, to);
     if (!Open(from, to) || Draw() < faults.loss) return;
+    if (faults.bandwidth > 0) {
+      Instant& free = free_[{from, to}];
+      free = std::max(free, now) +
+             Instant(static_cast<std::int64_t>(1e9 * static_cast<double>(bytes.size()) / faults.bandwidth));
+      if (free - now > std::chrono::seconds(1)) return;
+      now = free;
+    }
     const int copies = Draw() < faults.duplicate ? 2 : 1;
     for (int i = 0; i < copies; ++i) {
       std::string copy = bytes;
-      if (Draw() < faults.garble && !copy.empty())
-        copy[random_() % copy.size()] ^= static_cast<char>(1 << random_() % 8);
+      Garble(from, to, copy);
       arrives(now + faults.delay + Instant(static_cast<std::int64_t>(
                                        Draw() * static_cast<double>(faults.spread.count()))),
               std::move(copy));
@@ -53,13 +65,13 @@
   }
 
  private:
-  const LinkFaults& Of(Node from, Node to) const;
   double Draw() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
 
   std::mt19937_64 random_;
   LinkFaults usual_;
   std::map<std::pair<Node, Node>, LinkFaults> special_;
-  std::map<Node, int> sides_;
+  std::map<Node, std::set<int>> sides_;
+  std::map<std::pair<Node, Node>, Instant> free_;  // when the link has sent what it has
 };
 
 }  // namespace lemoncroft::standin
--- /dev/null
+++ b/src/trial/main.cpp
@@ -0,0 +1,126 @@
+// lemoncroft_trial: plays trials on real processes and says which rules they broke; the last line is one JSON object.
+#include <unistd.h>
+
+#include <CLI/CLI.hpp>
+#include <cstdio>
+#include <cstdlib>
+#include <filesystem>
+#include <fstream>
+#include <nlohmann/json.hpp>
+#include <sstream>
+
+#include "trial/rig.h"
+
+namespace {
+
+using namespace lemoncroft::trial;
+using nlohmann::ordered_json;
+
+constexpr int kTriesMost = 3;  // of a trial that the machine held up
+
+struct Options {
+  std::vector<std::string> files;
+  std::uint64_t random = 0;
+  std::size_t count = 1, proxies = 6;
+  std::string program, write, keep;
+  bool verbose = false;
+};
+
+struct Sum {
+  int trials = 0, failed = 0, voided = 0;
+  std::vector<double> detect_ms, join_ms;
+  double settle_ms = 0;
+};
+
+double Greatest(const std::vector<double>& values) {
+  return values.empty() ? 0 : *std::max_element(values.begin(), values.end());
+}
+
+bool PlayOne(const Trial& trial, const Options& options, Sum& sum) {
+  ++sum.trials;
+  for (int tries = 1;; ++tries) {
+    char folder[] = "/tmp/lemoncroft-trial-XXXXXX";
+    if (::mkdtemp(folder) == nullptr) throw std::runtime_error("no folder for a trial");
+    Rig rig(trial, options.program, folder);
+    const Outcome outcome = rig.Play();
+    const bool last = tries == kTriesMost;
+    const bool voided = !outcome.voided.empty();
+    const bool good = outcome.broken.empty() && !voided;
+    if (options.verbose || (!good && (last || !voided)))
+      std::fputs(rig.history().Text(rig.started()).c_str(), stdout);
+    std::error_code ignored;
+    if (good && options.keep.empty())
+      std::filesystem::remove_all(folder, ignored);
+    else
+      std::printf("  logs: %s\n", folder);
+    if (voided && !last) {
+      ++sum.voided;
+      std::printf("void    %s: %s\n", trial.name.c_str(), outcome.voided.front().c_str());
+      continue;
+    }
+    std::printf("%s  %s: settled in %.0f ms, crashes known in %.0f ms at most\n", good ? "passed" : "FAILED",
+                trial.name.c_str(), outcome.settle_ms, Greatest(outcome.detect_ms));
+    for (const std::string& rule : outcome.broken) std::printf("        %s\n", rule.c_str());
+    if (voided) std::printf("        void %d times: %s\n", kTriesMost, outcome.voided.front().c_str());
+    if (!good) ++sum.failed;
+    sum.settle_ms = std::max(sum.settle_ms, outcome.settle_ms);
+    sum.detect_ms.insert(sum.detect_ms.end(), outcome.detect_ms.begin(), outcome.detect_ms.end());
+    sum.join_ms.insert(sum.join_ms.end(), outcome.join_ms.begin(), outcome.join_ms.end());
+    std::fflush(stdout);
+    return good;
+  }
+}
+
+std::vector<Trial> Load(const std::string& path) {
+  std::ifstream file(path, std::ios::binary);
+  if (!file) throw ScriptError(path + ": cannot be read");
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ReadTrials(path, text.str());
+}
+
+int Run(const Options& options) {
+  Sum sum;
+  std::vector<Trial> trials;
+  for (const std::string& path : options.files)
+    for (Trial& trial : Load(path)) trials.push_back(std::move(trial));
+  if (options.random > 0)
+    for (std::size_t i = 0; i < options.count; ++i) trials.push_back(DrawTrial(options.random + i, options.proxies));
+  for (const Trial& trial : trials) {
+    if (!options.write.empty()) std::ofstream(options.write, std::ios::app) << WriteTrial(trial);
+    if (!PlayOne(trial, options, sum)) std::fputs(WriteTrial(trial).c_str(), stdout);
+  }
+  std::printf("%s\n", ordered_json{{"trials", sum.trials},
+                                   {"trials_failed", sum.failed},
+                                   {"real_void", sum.voided},
+                                   {"real_settle_ms", sum.settle_ms},
+                                   {"real_detect_ms", Greatest(sum.detect_ms)},
+                                   {"real_join_ms", Greatest(sum.join_ms)}}
+                          .dump()
+                          .c_str());
+  return sum.failed > 0 ? 1 : 0;
+}
+
+}  // namespace
+
+int main(int argc, char** argv) {
+  Options options;
+  const std::filesystem::path beside = std::filesystem::path(argv[0]).parent_path();
+  options.program = (beside / "lemoncroft").string();
+  CLI::App app("Trials of the fleet on real processes, with faults between them", "lemoncroft_trial");
+  app.add_option("files", options.files, "trials, in KDL");
+  app.add_option("--random", options.random, "draw trials from this seed on");
+  app.add_option("--count", options.count, "how many of these")->capture_default_str();
+  app.add_option("--proxies", options.proxies, "of each of these")->capture_default_str()->check(CLI::Range(2, 64));
+  app.add_option("--program", options.program, "the proxy")->capture_default_str();
+  app.add_option("--write", options.write, "append the trials to this file, to be played again");
+  app.add_option("--keep", options.keep, "any text: keep the folders of trials that passed too");
+  app.add_flag("-v,--verbose", options.verbose, "print each history");
+  CLI11_PARSE(app, argc, argv);
+  try {
+    return Run(options);
+  } catch (const std::exception& e) {
+    std::fprintf(stderr, "lemoncroft_trial: %s\n", e.what());
+    return 2;
+  }
+}
--- /dev/null
+++ b/src/trial/process.cpp
@@ -0,0 +1,93 @@
+#include "trial/process.h"
+
+#include <fcntl.h>
+#include <sys/prctl.h>
+#include <sys/socket.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <cerrno>
+#include <csignal>
+#include <system_error>
+
+namespace lemoncroft::trial {
+namespace {
+
+constexpr int kListening = 3;
+constexpr std::size_t kLineMost = 4096;
+
+// Between fork and exec: only what is safe there.
+[[noreturn]] void Become(pid_t parent, int output, int listening, char* const* words, char* const* environment) {
+  ::prctl(PR_SET_PDEATHSIG, SIGKILL);
+  if (::getppid() != parent) ::_exit(126);  // the rig ended before that
+  ::dup2(output, STDOUT_FILENO);
+  ::dup2(output, STDERR_FILENO);
+  if (listening >= 0) {
+    if (listening == kListening)
+      ::fcntl(listening, F_SETFD, 0);
+    else
+      ::dup2(listening, kListening);
+  }
+  ::close_range(listening >= 0 ? kListening + 1 : kListening, ~0U, 0);
+  sigset_t none;
+  sigemptyset(&none);
+  ::sigprocmask(SIG_SETMASK, &none, nullptr);
+  ::execve(words[0], words, environment);
+  ::_exit(127);
+}
+
+}  // namespace
+
+ChildProcess::ChildProcess(runtime::Loop& loop, const Command& command,
+                           std::function<void(const std::string&)> line) {
+  int ends[2];
+  // Its output comes through a socket, which the loop can read.
+  if (::socketpair(AF_UNIX, SOCK_STREAM | SOCK_CLOEXEC, 0, ends) != 0)
+    throw std::system_error(errno, std::generic_category(), "socketpair");
+  runtime::Descriptor ours(ends[0]), theirs(ends[1]);
+  ::fcntl(ours.get(), F_SETFL, O_NONBLOCK);
+  std::vector<std::string> words = command.words, environment;
+  for (const auto& [name, value] : command.environment) environment.push_back(name + "=" + value);
+  std::vector<char*> argv, envp;
+  for (std::string& word : words) argv.push_back(word.data());
+  for (std::string& entry : environment) envp.push_back(entry.data());
+  argv.push_back(nullptr);
+  envp.push_back(nullptr);
+  const pid_t parent = ::getpid();
+  pid_ = ::fork();
+  if (pid_ < 0) throw std::system_error(errno, std::generic_category(), "fork");
+  if (pid_ == 0) Become(parent, theirs.get(), command.listening, argv.data(), envp.data());
+  loop.Spawn(ReadLines(std::make_shared<runtime::Socket>(loop, std::move(ours)), std::move(line)));
+}
+
+ChildProcess::~ChildProcess() {
+  if (!Running()) return;
+  Signal(SIGKILL);
+  int status = 0;
+  ::waitpid(pid_, &status, 0);
+}
+
+void ChildProcess::Signal(int signal) const {
+  if (!status_) ::kill(pid_, signal);
+}
+
+bool ChildProcess::Running() {
+  if (status_) return false;
+  int status = 0;
+  if (::waitpid(pid_, &status, WNOHANG) == pid_) status_ = status;
+  return !status_;
+}
+
+runtime::Task<> ChildProcess::ReadLines(std::shared_ptr<runtime::Socket> output,
+                                        std::function<void(const std::string&)> line) {
+  std::string text;
+  while (co_await output->Read(text, kLineMost, runtime::kNever) == runtime::Io::kOk) {
+    std::size_t from = 0;
+    for (std::size_t end; (end = text.find('\n', from)) != std::string::npos; from = end + 1)
+      line(text.substr(from, end - from));
+    text.erase(0, from);
+    if (text.size() > kLineMost) text.clear();
+  }
+}
+
+}  // namespace lemoncroft::trial
--- /dev/null
+++ b/src/trial/rig.cpp
@@ -0,0 +1,404 @@
+#include "trial/rig.h"
+
+#include <sys/socket.h>
+#include <sys/stat.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <cerrno>
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <sstream>
+#include <stdexcept>
+
+#include "codec/frame.h"
+#include "peerlink/frame.h"
+
+namespace lemoncroft::trial {
+
+using namespace std::chrono_literals;
+using runtime::Now;
+using runtime::Task;
+
+namespace {
+
+constexpr const char* kFleet = "trial";
+constexpr int kFirstPort = 7100, kPortsEach = 4, kRigsMost = 64;  // two of peers, clients, operators
+constexpr auto kWatchBeat = 5ms;
+constexpr auto kStartPatience = 3000ms;
+constexpr int kLies = 850, kLiesEach = 12;  // datagrams, and names in each: over 10,000
+constexpr int kAsksABatch = 200;            // each 10 ms: 20,000 a second
+constexpr auto kAskBeat = 10ms;
+
+// What a proxy must be told; it has an engine in its list that nobody sends to.
+constexpr const char* kConfig = R"({"name":"NAME","listen":"LISTEN","seed":"SEED",
+"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"management":"MANAGEMENT","feed":"","known":
+{"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[
+{"id":"e1","host_port":"127.0.0.1:9","locality":"dc","flavor":"std","cell":0,"phase":"Ready","size":1,
+"up_since_ms":0}]}}]},
+"settings":{"siblings":SIBLINGS,"me":0,"zone":0,"dcs":["dc"],"flavors":["std"],"tickNs":5000000,
+"membershipMode":"pushed","requestClasses":[
+{"name":"lookup","promiseNs":600000000,"deadlineNs":3000000000,"credit":1.0,"lateWorth":0.1,
+ "effect":"pure","group":"all"}],
+"tenants":[{"name":"acme","portion":1.0,"quotaPerS":1000}],"report":{"fields":[],"source":"none"},
+"specifics":{"threadsByClass":[1],"holdsTables":[false],"blockedByLoads":[false],"cpuOfKind":[8],
+"ramOfKindMb":[16384],"maxGrantShare":0.4,"takesGrants":true,"ranksHeeded":true,"saysCost":true,
+"memoryShort":"queue","progressNs":0},
+"limits":{"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxAttempts":5,"maxOpen":1000,
+"maxRetryAfterNs":1000000000,"connectTimeoutNs":250000000,"keepaliveNs":15000000000,"probing":true},
+"guarantees":{"answerSlackNs":20000000,"drainGraceNs":250000000,"coldFrom":0.31,
+"warmWithinNs":14000000000,"overloadFactor":4.0,"fallNs":1000000000}}})";
+
+std::string Replaced(std::string text, const std::string& what, const std::string& by) {
+  const std::size_t at = text.find(what);
+  return at == std::string::npos ? text : text.replace(at, what.size(), by);
+}
+
+std::string Ms(Span span) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()) + "ms";
+}
+
+runtime::Descriptor Listening(const std::string& address) {
+  runtime::Descriptor fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0));
+  const auto at = runtime::Address::Parse(address);
+  const int on = 1;
+  ::setsockopt(fd.get(), SOL_SOCKET, SO_REUSEADDR, &on, sizeof on);
+  if (!at || ::bind(fd.get(), reinterpret_cast<const sockaddr*>(&at->raw), sizeof at->raw) != 0 ||
+      ::listen(fd.get(), 128) != 0)
+    return {};
+  return fd;
+}
+
+}  // namespace
+
+Rig::Rig(const Trial& trial, std::string program, std::string folder)
+    : trial_(trial), program_(std::move(program)), folder_(std::move(folder)), links_(trial.seed) {
+  if (trial_.machines < trial_.proxies) trial_.machines = trial_.proxies + 2;
+  TakePorts();
+  relay_ = std::make_unique<Relay>(loop_, links_, trial_.machines, port_);
+}
+
+Rig::~Rig() = default;
+
+// Rigs beside each other have ports of their own, each held by a socket that ends with its rig.
+void Rig::TakePorts() {
+  for (int i = 0; i < kRigsMost && !lock_; ++i) {
+    port_ = static_cast<std::uint16_t>(kFirstPort + kPortsEach * i);
+    lock_ = Listening("127.0.2.254:" + std::to_string(port_));
+  }
+  if (!lock_) throw std::runtime_error("no ports are free for a trial");
+  for (std::size_t machine = 1; machine <= trial_.machines; ++machine) {
+    listening_.push_back(Listening(Relay::Bound(machine) + ":" + std::to_string(port_ + 2)));
+    if (!listening_.back()) throw std::runtime_error("cannot listen for the clients of a trial");
+  }
+}
+
+std::string Rig::Folder(std::size_t machine) const { return folder_ + "/m" + std::to_string(machine); }
+
+void Rig::WriteFiles(const std::string& name, std::size_t machine) {
+  const std::string folder = Folder(machine), port = std::to_string(port_);
+  std::filesystem::create_directories(folder + "/tmp");
+  std::string text = Replaced(kConfig, "NAME", name);
+  text = Replaced(text, "LISTEN", Relay::Bound(machine) + ":" + std::to_string(port_ + 2));
+  text = Replaced(text, "MANAGEMENT", Relay::Bound(machine) + ":" + std::to_string(port_ + 3));
+  text = Replaced(text, "SIBLINGS", std::to_string(trial_.proxies));
+  std::ostringstream seed;
+  seed << std::hex << trial_.seed * 1000 + machine;
+  std::ofstream(folder + "/config.json") << Replaced(text, "SEED", seed.str());
+  std::string seeds;
+  for (const std::string& s : trial_.seeds) seeds += " \"" + Relay::Told(MachineOf(s)) + ":" + port + "\"";
+  const auto both = [&](const std::string& host) {
+    return "\"" + host + ":" + port + "\" \"" + host + ":" + std::to_string(port_ + 1) + "\"";
+  };
+  std::ofstream(folder + "/operator.kdl")
+      << "fleet \"" << kFleet << "\" {\n  listen " << both(Relay::Bound(machine)) << "\n  advertise "
+      << both(Relay::Told(machine)) << "\n  seeds" << seeds << "\n  zone \"z" << machine % 3
+      << "\"\n  state-file \"" << folder << "/fleet.json\"\n  period \"" << Ms(trial_.period)
+      << "\"\n  remember \"" << Ms(trial_.remember) << "\"\n}\n";
+}
+
+std::size_t Rig::MachineOf(const std::string& name) const {
+  const std::size_t machine = name.size() > 1 ? std::strtoul(name.c_str() + 1, nullptr, 10) : 0;
+  if (machine == 0 || machine > trial_.machines) throw ScriptError("no machine for '" + name + "'");
+  return machine;
+}
+
+Rig::Actor& Rig::Launch(const std::string& name, std::size_t machine, int second) {
+  WriteFiles(name, machine);
+  const std::string folder = Folder(machine);
+  auto actor = std::make_unique<Actor>();
+  Actor* self = actor.get();
+  self->name = name;
+  self->label = name + (machine != MachineOf(name) ? "@" + std::to_string(machine) : "");
+  int before = 0;
+  for (const auto& other : actors_) before += other->name == name && other->machine == machine;
+  if (before > 0) self->label += "." + std::to_string(before + 1);
+  self->machine = machine;
+  self->second = second;
+  self->life = history_.lives.size();
+  Life life;
+  life.label = self->label;
+  life.name = name;
+  life.started = Now();
+  history_.lives.push_back(life);
+  Command command;
+  command.words = {program_, "serve", "--config", folder + "/config.json", "--operator", folder + "/operator.kdl"};
+  command.environment = {{"PROXY_FD", "3"}, {"TMPDIR", folder + "/tmp"}};
+  command.environment.emplace_back(
+      "PROXY_MANAGEMENT", Relay::Bound(machine) + ":" + std::to_string(port_ + 3 + 1000 * (before % 8)));
+  command.listening = listening_[machine - 1].get();
+  auto log = std::make_shared<std::ofstream>(folder + "/" + self->label + ".log");
+  self->process = std::make_unique<ChildProcess>(loop_, command, [this, self, log](const std::string& line) {
+    *log << line << std::endl;
+    Heard(*self, line);
+  });
+  actors_.push_back(std::move(actor));
+  return *self;
+}
+
+void Rig::Heard(Actor& actor, const std::string& line) {
+  if (line.find("serving in place of") != std::string::npos) actor.serves = true;
+  history_.Hear(actor.life, line, Now());
+}
+
+Rig::Actor* Rig::Find(const std::string& name) {
+  const auto it = std::find_if(actors_.rbegin(), actors_.rend(), [&](const auto& actor) {
+    return actor->name == name && !history_.lives[actor->life].ended && actor->process->Running();
+  });
+  return it == actors_.rend() ? nullptr : it->get();
+}
+
+Outcome Rig::Play() {
+  relay_->Start();
+  start_ = Now();
+  for (std::size_t machine = 1; machine <= trial_.proxies; ++machine)
+    Launch("n" + std::to_string(machine), machine, 0);
+  loop_.Spawn(Direct());
+  loop_.Spawn(Watch());
+  loop_.Run();
+  const Slack slack{250ms, trial_.settle, 25, 25};
+  Outcome outcome = history_.Check(trial_.period, slack);
+  outcome.broken.insert(outcome.broken.end(), broken_.begin(), broken_.end());
+  outcome.voided.insert(outcome.voided.end(), voided_.begin(), voided_.end());
+  return outcome;
+}
+
+Task<> Rig::Direct() {
+  const Time ready = Now() + kStartPatience;
+  while (Now() < ready && !std::all_of(actors_.begin(), actors_.end(), [](const auto& a) { return a->serves; }))
+    co_await loop_.Sleep(10ms);
+  start_ = Now();
+  history_.last_fault = start_;
+  if (trial_.busy)
+    for (std::size_t machine = 1; machine <= trial_.proxies; ++machine) loop_.Spawn(Ask(machine));
+  for (const Action& action : trial_.actions) {
+    co_await loop_.SleepUntil(start_ + action.at);
+    try {
+      Do(action);
+    } catch (const std::exception& e) {
+      broken_.emplace_back(e.what());
+    }
+    history_.last_fault = Now();
+    if (action.verb == Verb::kStall) history_.last_fault += action.span;
+  }
+  NoteTrouble();
+  const Span rest = trial_.period * static_cast<int>(std::max(trial_.settle, 25.0) + 10) + 300ms;
+  co_await loop_.SleepUntil(history_.last_fault + rest);
+  history_.end = Now();
+  loop_.Stop();
+}
+
+// Whether the links are such that who is called failed may be rightly so.
+void Rig::NoteTrouble() {
+  const bool trouble = parted_ || stormy_ || cuts_ > 0 || flapping_ > 0;
+  const bool noted = !history_.troubles.empty() && !history_.troubles.back().until;
+  if (trouble && !noted) history_.troubles.push_back({Now(), std::nullopt});
+  if (!trouble && noted) history_.troubles.back().until = Now();
+}
+
+void Rig::Weather(const Action& action) {
+  const auto figure = [&](const char* name) {
+    const auto it = action.figures.find(name);
+    return it == action.figures.end() ? 0.0 : it->second;
+  };
+  const auto ms = [&](const char* name) { return Span(static_cast<Span::rep>(1e6 * figure(name))); };
+  standin::LinkFaults faults;
+  faults.loss = figure("loss");
+  faults.duplicate = figure("duplicate");
+  faults.garble = figure("garble");
+  faults.delay = ms("delay_ms");
+  faults.spread = ms("spread_ms");
+  faults.bandwidth = figure("rate");
+  links_.usual() = faults;
+  stormy_ = faults.loss + faults.garble > 0.021 || faults.delay + faults.spread > trial_.period / 4 ||
+            faults.bandwidth > 0;
+}
+
+void Rig::Do(const Action& action) {
+  const auto node = [&](const std::string& name) { return static_cast<standin::Node>(MachineOf(name)); };
+  const auto each = [&](auto act) {
+    for (const std::string& name : action.names)
+      if (Actor* actor = Find(name)) act(*actor);
+  };
+  switch (action.verb) {
+    case Verb::kKill:
+      each([&](Actor& actor) {
+        Life& life = history_.lives[actor.life];
+        actor.process->Signal(SIGKILL);
+        life.killed = true;
+        life.ended = Now();
+      });
+      break;
+    case Verb::kTerm:
+      each([&](Actor& actor) {
+        history_.lives[actor.life].told_to_end = Now();
+        actor.process->Signal(SIGTERM);
+      });
+      break;
+    case Verb::kStart:
+      for (const std::string& name : action.names) Launch(name, MachineOf(name), 0);
+      break;
+    case Verb::kUpgrade:
+      each([&](Actor& actor) {
+        Actor* old = &actor;
+        loop_.Spawn(Replace(old, &Launch(old->name, old->machine, 1 - old->second)));
+      });
+      break;
+    case Verb::kDuplicate:
+      Launch(action.names[0], trial_.proxies + 1, 0);
+      break;
+    case Verb::kStall:
+      each([&](Actor& actor) {
+        actor.process->Signal(SIGSTOP);
+        history_.lives[actor.life].stalls.emplace_back(Now(), Now() + action.span + 1s);
+        loop_.Spawn(Resume(&actor, action.span));
+      });
+      break;
+    case Verb::kCut:
+    case Verb::kMend:
+      links_.Cut(node(action.names[0]), node(action.names[1]), action.verb == Verb::kCut);
+      if (action.verb == Verb::kCut)
+        ++cuts_;
+      else if (cuts_ > 0)
+        --cuts_;
+      break;
+    case Verb::kFlap:
+      loop_.Spawn(Flap(MachineOf(action.names[0]), MachineOf(action.names[1]), action.span));
+      break;
+    case Verb::kPart:
+      links_.Heal();
+      for (std::size_t group = 0; group < action.names.size(); ++group) {
+        std::istringstream names(action.names[group]);
+        for (std::string name; names >> name;) links_.Side(node(name), static_cast<int>(group));
+      }
+      parted_ = true;
+      break;
+    case Verb::kHeal:
+      links_.Heal();
+      ++heals_;
+      parted_ = false;
+      cuts_ = 0;
+      flapping_ = 0;
+      break;
+    case Verb::kWeather:
+      Weather(action);
+      break;
+    case Verb::kLie:
+      Lie(MachineOf(action.names[0]));
+      break;
+  }
+  NoteTrouble();
+}
+
+// From an address of its own, in the form of a peer: a fleet of names that nobody has.
+void Rig::Lie(std::size_t machine) {
+  runtime::DatagramSocket socket(
+      loop_, *runtime::Address::Parse(Relay::Told(machine) + ":" + std::to_string(port_ + 2)));
+  peers::Datagram d;
+  d.sender.id = 0x11e5;
+  d.sender.name = "liar";
+  d.sender.address = {0x7f000200u + static_cast<std::uint32_t>(machine), static_cast<std::uint16_t>(port_ + 2)};
+  d.body = peers::Gossip{};
+  for (int i = 0; i < kLies; ++i) {
+    d.news.clear();
+    for (int k = 0; k < kLiesEach; ++k) {
+      peers::News news;
+      news.record = d.sender;
+      news.record.id = 0x10000 + static_cast<std::uint64_t>(kLiesEach * i + k);
+      news.record.name = "lie-" + std::to_string(news.record.id);
+      news.record.address.port = static_cast<std::uint16_t>(20000 + kLiesEach * i + k);
+      d.news.push_back(std::move(news));
+    }
+    const std::string frame = peerlink::Encode(kFleet, d);
+    for (const auto& actor : actors_)
+      if (!history_.lives[actor->life].ended)
+        socket.Send(frame, *runtime::Address::Parse(Relay::Bound(actor->machine) + ":" +
+                                                    std::to_string(port_ + actor->second)));
+    if (i % 16 == 0) ::usleep(1000);
+  }
+}
+
+Task<> Rig::Resume(Actor* actor, Span after) {
+  co_await loop_.Sleep(after);
+  actor->process->Signal(SIGCONT);
+  Life& life = history_.lives[actor->life];
+  if (!life.stalls.empty()) life.stalls.back().second = Now();
+}
+
+Task<> Rig::Replace(Actor* old, Actor* fresh) {
+  const Time last = Now() + kStartPatience;
+  while (!fresh->serves && Now() < last && fresh->process->Running()) co_await loop_.Sleep(10ms);
+  if (!fresh->serves) co_return;
+  history_.lives[old->life].told_to_end = Now();
+  old->process->Signal(SIGTERM);
+}
+
+Task<> Rig::Flap(std::size_t a, std::size_t b, Span each) {
+  ++flapping_;
+  const std::uint64_t heals = heals_;
+  const auto x = static_cast<standin::Node>(a), y = static_cast<standin::Node>(b);
+  for (bool cut = true; heals == heals_; cut = !cut) {
+    links_.Cut(x, y, cut);
+    links_.Cut(y, x, cut);
+    co_await loop_.Sleep(each);
+  }
+}
+
+// Who has ended; and how late the rig itself runs.
+Task<> Rig::Watch() {
+  for (Time due = Now() + kWatchBeat;; due = Now() + kWatchBeat) {
+    co_await loop_.SleepUntil(due);
+    if (Now() - due > trial_.period / 2)
+      voided_.push_back("the rig ran " + Ms(Now() - due) + " late");
+    for (const auto& actor : actors_) {
+      Life& life = history_.lives[actor->life];
+      if (life.ended || actor->process->Running()) continue;
+      life.ended = Now();
+      const int status = *actor->process->ended();
+      if (!life.told_to_end || !WIFEXITED(status) || WEXITSTATUS(status) != 0)
+        broken_.push_back(life.label + " ended by itself or not well, as waitpid tells: " + std::to_string(status));
+    }
+  }
+}
+
+Task<> Rig::Ask(std::size_t machine) {
+  const auto to = *runtime::Address::Parse(Relay::Bound(machine) + ":" + std::to_string(port_ + 2));
+  std::string asks;
+  for (int i = 0; i < kAsksABatch; ++i)
+    codec::WriteFrame(asks, codec::kReadyAskFrame, 1, std::string_view("\0", 1));
+  for (;; co_await loop_.Sleep(100ms)) {
+    std::unique_ptr<runtime::Socket> socket;
+    if (co_await Connect(loop_, to, Now() + 500ms, nullptr, socket) != runtime::Io::kOk) continue;
+    std::string answers;
+    for (std::size_t written = 0;;) {
+      if (co_await socket->Write(asks, written, Now() + 500ms) != runtime::Io::kOk) break;
+      const Time next = Now() + kAskBeat;
+      while (co_await socket->Read(answers, 16384, next) == runtime::Io::kOk) answers.clear();
+      if (Now() < next) break;  // the connection has ended
+    }
+  }
+}
+
+}  // namespace lemoncroft::trial
--- /dev/null
+++ b/src/trial/rig.h
@@ -0,0 +1,80 @@
+// Plays a trial: starts real proxies on loopback behind the relay, brings the faults about, and writes down what
+// happened.
+//
+// Contract. Ends only processes that it started, by their ids, and leaves none. Notes how late it ran itself: a trial
+// that the machine held up is void. Owner: the command line. Errors: std::runtime_error where nothing can be started.
+#ifndef LEMONCROFT_TRIAL_RIG_H_
+#define LEMONCROFT_TRIAL_RIG_H_
+
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin/links.h"
+#include "trial/history.h"
+#include "trial/process.h"
+#include "trial/relay.h"
+#include "trial/script.h"
+
+namespace lemoncroft::trial {
+
+class Rig {
+ public:
+  // `folder`: of its own, existing; logs and files of the processes stay there.
+  Rig(const Trial& trial, std::string program, std::string folder);
+  ~Rig();
+
+  Outcome Play();
+  const History& history() const { return history_; }
+  Time started() const { return start_; }
+
+ private:
+  struct Actor {
+    std::string name, label;
+    std::size_t machine = 0;
+    int second = 0;
+    std::size_t life = 0;
+    bool serves = false;
+    std::unique_ptr<ChildProcess> process;
+  };
+
+  void TakePorts();
+  std::string Folder(std::size_t machine) const;
+  void WriteFiles(const std::string& name, std::size_t machine);
+  Actor& Launch(const std::string& name, std::size_t machine, int second);
+  Actor* Find(const std::string& name);  // that runs, the newest
+  std::size_t MachineOf(const std::string& name) const;
+  void Heard(Actor& actor, const std::string& line);
+
+  runtime::Task<> Direct();
+  void Do(const Action& action);
+  void Weather(const Action& action);
+  void Lie(std::size_t machine);
+  void NoteTrouble();
+  runtime::Task<> Resume(Actor* actor, Span after);
+  runtime::Task<> Replace(Actor* old, Actor* fresh);
+  runtime::Task<> Flap(std::size_t a, std::size_t b, Span each);
+  runtime::Task<> Watch();
+  runtime::Task<> Ask(std::size_t machine);
+
+  Trial trial_;
+  std::string program_, folder_;
+  runtime::Loop loop_;
+  standin::Links links_;
+  std::uint16_t port_ = 0;
+  runtime::Descriptor lock_;
+  std::vector<runtime::Descriptor> listening_;  // the clients' of each machine
+  std::unique_ptr<Relay> relay_;
+  std::vector<std::unique_ptr<Actor>> actors_;
+  History history_;
+  std::vector<std::string> voided_, broken_;
+  Time start_{};
+  bool parted_ = false, stormy_ = false;
+  int flapping_ = 0;
+  std::uint64_t heals_ = 0;
+  std::size_t cuts_ = 0;
+};
+
+}  // namespace lemoncroft::trial
+
+#endif  // LEMONCROFT_TRIAL_RIG_H_
--- /dev/null
+++ b/src/trial/script.cpp
@@ -0,0 +1,243 @@
+#include "trial/script.h"
+
+#include <algorithm>
+#include <cstdio>
+#include <iterator>
+#include <random>
+
+#include "codec/kdl.h"
+#include "operator/fields.h"
+
+namespace lemoncroft::trial {
+
+using codec::KdlNode;
+using codec::KdlValue;
+using namespace std::chrono_literals;
+
+namespace {
+
+struct Named {
+  const char* name;
+  Verb verb;
+  int names;   // how many; -1: any
+  bool span;   // the last argument is a time
+};
+constexpr Named kVerbs[] = {{"kill", Verb::kKill, -1, false},       {"term", Verb::kTerm, -1, false},
+                            {"start", Verb::kStart, -1, false},     {"upgrade", Verb::kUpgrade, -1, false},
+                            {"duplicate", Verb::kDuplicate, 1, false}, {"stall", Verb::kStall, 1, true},
+                            {"cut", Verb::kCut, 2, false},          {"mend", Verb::kMend, 2, false},
+                            {"flap", Verb::kFlap, 2, true},         {"part", Verb::kPart, -1, false},
+                            {"heal", Verb::kHeal, 0, false},        {"weather", Verb::kWeather, 0, false},
+                            {"lie", Verb::kLie, 1, false}};
+constexpr const char* kFigures[] = {"loss", "duplicate", "garble", "delay_ms", "spread_ms", "rate"};
+constexpr double kMachinesMost = 200;
+
+const Named* Find(const std::string& name) {
+  const auto it = std::find_if(std::begin(kVerbs), std::end(kVerbs),
+                               [&](const Named& verb) { return name == verb.name; });
+  return it == std::end(kVerbs) ? nullptr : it;
+}
+
+Action ReadAction(const KdlNode& node, Span at, op::Faults& faults) {
+  Action action;
+  action.at = at;
+  const Named* verb = Find(node.name);
+  if (verb == nullptr) {
+    faults.Add(node.place, "'" + node.name + "' is no action");
+    return action;
+  }
+  action.verb = verb->verb;
+  std::vector<KdlValue> arguments = node.arguments;
+  if (verb->span) {
+    if (arguments.empty() || !op::ParseSpan(arguments.back().text, action.span))
+      faults.Add(node.place, node.name + ": its last argument is a time, such as \"500ms\"");
+    if (!arguments.empty()) arguments.pop_back();
+  }
+  for (const KdlValue& value : arguments) action.names.push_back(value.text);
+  if (verb->names >= 0 && action.names.size() != static_cast<std::size_t>(verb->names))
+    faults.Add(node.place, node.name + ": takes " + std::to_string(verb->names) + " names");
+  for (const auto& [name, value] : node.properties) {
+    const bool known = std::find(std::begin(kFigures), std::end(kFigures), name) != std::end(kFigures);
+    if (!known || verb->verb != Verb::kWeather) faults.Add(value.place, "'" + name + "' is not known here");
+    action.figures[name] = value.number;
+  }
+  return action;
+}
+
+Trial ReadTrial(const KdlNode& node, op::Faults& faults) {
+  Trial trial;
+  KdlNode name = node;
+  name.children.clear();
+  op::ReadText(name, trial.name, faults);
+  std::size_t seed = 1;
+  const op::Known known = {
+      {"proxies", [&](const KdlNode& n) { op::ReadCount(n, kMachinesMost, trial.proxies, faults); }},
+      {"machines", [&](const KdlNode& n) { op::ReadCount(n, kMachinesMost, trial.machines, faults); }},
+      {"period", [&](const KdlNode& n) { op::ReadSpan(n, 50ms, 10s, trial.period, faults); }},
+      {"remember", [&](const KdlNode& n) { op::ReadSpan(n, 1s, 1h, trial.remember, faults); }},
+      {"settle", [&](const KdlNode& n) { op::ReadNumber(n, 1, 1000, trial.settle, faults); }},
+      {"seed", [&](const KdlNode& n) { op::ReadCount(n, 1e15, seed, faults); }},
+      {"busy", [&](const KdlNode& n) { op::ReadFlag(n, trial.busy, faults); }},
+      {"seeds",
+       [&](const KdlNode& n) {
+         trial.seeds.clear();
+         for (const KdlValue& value : n.arguments) trial.seeds.push_back(value.text);
+       }},
+      {"at",
+       [&](const KdlNode& n) {
+         Span at{};
+         if (n.arguments.size() != 1 || !op::ParseSpan(n.arguments[0].text, at))
+           return faults.Add(n.place, "at: expected a time, such as \"2s\"");
+         for (const KdlNode& child : n.children) trial.actions.push_back(ReadAction(child, at, faults));
+       }},
+  };
+  op::ReadBlock(node.children, known, {"at"}, faults);
+  trial.seed = seed;
+  std::stable_sort(trial.actions.begin(), trial.actions.end(),
+                   [](const Action& a, const Action& b) { return a.at < b.at; });
+  return trial;
+}
+
+std::string Ms(Span span) {
+  return std::to_string(std::chrono::duration_cast<std::chrono::milliseconds>(span).count()) + "ms";
+}
+
+// Draws what can be without a fault that no one could tell from a crash: at the end all is healed.
+class Draw {
+ public:
+  Draw(std::uint64_t seed, std::size_t proxies) : random_(seed) {
+    trial_.name = "random " + std::to_string(seed);
+    trial_.seed = seed;
+    trial_.proxies = proxies;
+    for (std::size_t i = 1; i <= proxies; ++i) living_.push_back("n" + std::to_string(i));
+  }
+
+  Trial Take() {
+    Span at = 1500ms;
+    const int acts = 3 + Below(4);
+    for (int i = 0; i < acts; ++i) {
+      One(at);
+      at += 300ms + Span(1ms) * Below(1500);
+    }
+    Put(at, Verb::kHeal);
+    Put(at, Verb::kWeather);
+    std::stable_sort(trial_.actions.begin(), trial_.actions.end(),
+                     [](const Action& a, const Action& b) { return a.at < b.at; });
+    return trial_;
+  }
+
+ private:
+  int Below(int bound) { return static_cast<int>(random_() % static_cast<std::uint64_t>(bound)); }
+  Action& Put(Span at, Verb verb, std::vector<std::string> names = {}) {
+    Action action;
+    action.at = at;
+    action.verb = verb;
+    action.names = std::move(names);
+    trial_.actions.push_back(std::move(action));
+    return trial_.actions.back();
+  }
+  std::string Any() { return living_[static_cast<std::size_t>(Below(static_cast<int>(living_.size())))]; }
+
+  void One(Span at) {
+    switch (Below(9)) {
+      case 0:
+      case 1:
+        if (living_.size() > 3) {
+          const std::string name = Any();
+          std::erase(living_, name);
+          gone_.push_back(name);
+          Put(at, Below(3) == 0 ? Verb::kTerm : Verb::kKill, {name});
+        }
+        break;
+      case 2:
+        if (!gone_.empty()) {
+          Put(at, Verb::kStart, {gone_.back()});
+          living_.push_back(gone_.back());
+          gone_.pop_back();
+        }
+        break;
+      case 3:
+        Put(at, Verb::kStall, {Any()}).span = 200ms + Span(1ms) * Below(3000);
+        break;
+      case 4:
+        Put(at, Verb::kCut, {Any(), Any()});
+        break;
+      case 5:
+        Put(at, Verb::kFlap, {Any(), Any()}).span = 100ms + Span(1ms) * Below(300);
+        break;
+      case 6: {
+        std::vector<std::string> groups(2 + static_cast<std::size_t>(Below(2)));
+        for (std::size_t i = 1; i <= trial_.proxies; ++i) {
+          std::string& group = groups[static_cast<std::size_t>(Below(static_cast<int>(groups.size())))];
+          group += (group.empty() ? "n" : " n") + std::to_string(i);
+        }
+        std::erase_if(groups, [](const std::string& g) { return g.empty(); });
+        Put(at, Verb::kPart, std::move(groups));
+        break;
+      }
+      case 7:
+        Put(at, Verb::kHeal);
+        break;
+      default: {
+        Action& weather = Put(at, Verb::kWeather);
+        weather.figures = {{"loss", 0.01 * Below(8)},
+                           {"duplicate", 0.01 * Below(10)},
+                           {"garble", 0.01 * Below(5)},
+                           {"delay_ms", 1.0 * Below(10)},
+                           {"spread_ms", 1.0 * Below(20)}};
+      }
+    }
+  }
+
+  std::mt19937_64 random_;
+  Trial trial_;
+  std::vector<std::string> living_, gone_;
+};
+
+}  // namespace
+
+std::vector<Trial> ReadTrials(const std::string& path, std::string_view text) {
+  op::Faults faults;
+  std::vector<Trial> trials;
+  try {
+    for (const KdlNode& node : codec::ReadKdl(text)) {
+      if (node.name == "trial")
+        trials.push_back(ReadTrial(node, faults));
+      else
+        faults.Add(node.place, "expected trial");
+    }
+  } catch (const codec::KdlError& e) {
+    throw ScriptError(path + ": " + e.what());
+  }
+  if (!faults.all().empty()) throw ScriptError(op::OperatorError(path, faults.all()).what());
+  return trials;
+}
+
+std::string WriteTrial(const Trial& trial) {
+  std::string out = "trial \"" + trial.name + "\" {\n";
+  out += "  proxies " + std::to_string(trial.proxies) + "\n  period \"" + Ms(trial.period) + "\"\n";
+  out += "  settle " + std::to_string(static_cast<int>(trial.settle)) + "\n";
+  out += "  seed " + std::to_string(trial.seed) + "\n";
+  if (trial.busy) out += "  busy #true\n";
+  out += "  seeds";
+  for (const std::string& seed : trial.seeds) out += " \"" + seed + "\"";
+  out += "\n";
+  for (const Action& action : trial.actions) {
+    const Named* verb = std::find_if(std::begin(kVerbs), std::end(kVerbs),
+                                     [&](const Named& v) { return v.verb == action.verb; });
+    out += "  at \"" + Ms(action.at) + "\" { " + verb->name;
+    for (const std::string& name : action.names) out += " \"" + name + "\"";
+    if (verb->span) out += " \"" + Ms(action.span) + "\"";
+    for (const auto& [name, value] : action.figures) {
+      char figure[64];
+      std::snprintf(figure, sizeof figure, " %s=%g", name.c_str(), value);
+      out += figure;
+    }
+    out += " }\n";
+  }
+  return out + "}\n";
+}
+
+Trial DrawTrial(std::uint64_t seed, std::size_t proxies) { return Draw(seed, proxies).Take(); }
+
+}  // namespace lemoncroft::trial
--- /dev/null
+++ b/src/trial/script.h
@@ -0,0 +1,75 @@
+// What a trial does: a fleet, and faults at times. Written in KDL, or drawn from a seed and written out.
+//
+//     trial "a crash is seen by all" {
+//       proxies 5
+//       period "100ms"
+//       at "2s" { kill "n3" }
+//       at "5s" { start "n3" }
+//     }
+//
+// Contract. Plain values; a text that is wrong is told whole, with lines. Units: spans. docs/trials.md lists the verbs.
+#ifndef LEMONCROFT_TRIAL_SCRIPT_H_
+#define LEMONCROFT_TRIAL_SCRIPT_H_
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace lemoncroft::trial {
+
+using Span = std::chrono::nanoseconds;
+
+// What is wrong with a trial's text, a line each.
+class ScriptError : public std::runtime_error {
+ public:
+  using std::runtime_error::runtime_error;
+};
+
+enum class Verb {
+  kKill,       // SIGKILL
+  kTerm,       // SIGTERM: it leaves
+  kStart,      // again, on its own machine, with nothing remembered
+  kUpgrade,    // beside the one that runs, which gets SIGTERM once the new one serves
+  kDuplicate,  // NAME on a machine of its own, under a name that is taken
+  kStall,      // SIGSTOP, and SIGCONT after a time
+  kCut,        // FROM TO: in this direction
+  kMend,
+  kFlap,  // FROM TO, both directions, cut and mended each so often, until healed
+  kPart,  // groups; a name in two of them is a bridge
+  kHeal,
+  kWeather,  // of all links
+  kLie,      // datagrams with invented members, from one machine's address to all
+};
+
+struct Action {
+  Span at{};
+  Verb verb = Verb::kKill;
+  std::vector<std::string> names;           // of processes; for kPart a group each, blanks between its names
+  Span span{};                              // of kStall and kFlap
+  std::map<std::string, double> figures;    // of kWeather: loss, duplicate, garble, delay_ms, spread_ms, rate
+};
+
+struct Trial {
+  std::string name;
+  std::size_t proxies = 5;
+  std::size_t machines = 0;  // room for duplicates; 0: two more than proxies
+  Span period = std::chrono::milliseconds(100);
+  Span remember = std::chrono::seconds(60);
+  std::vector<std::string> seeds = {"n1", "n2"};
+  double settle = 20;  // periods from the last fault until all views agree
+  std::uint64_t seed = 1;  // of the links
+  bool busy = false;       // clients ask without a pause
+  std::vector<Action> actions;  // by time
+};
+
+std::vector<Trial> ReadTrials(const std::string& path, std::string_view text);
+std::string WriteTrial(const Trial& trial);
+Trial DrawTrial(std::uint64_t seed, std::size_t proxies);
+
+}  // namespace lemoncroft::trial
+
+#endif  // LEMONCROFT_TRIAL_SCRIPT_H_
