Agree on one log and lease what is in force, in virtual time and by a search of states

In the trials: engines, feed and clients under load, a calm fleet for its cost, logged texts. A test that traces the program's system calls without an operator's file. Ruled out: a leader's entries waiting for its own disk (a slow one held up all); a resigned leader that keeps its term (two could hold the lease).

--- /dev/null
+++ b/src/agreement/types.h
@@ -0,0 +1,159 @@
+// What the voters of a fleet keep and tell each other, to agree on one log.
+//
+// Contract. Plain values, no I/O, no clock. Owner: none. Units: spans of time; indices count entries from 1.
+// Source: Ongaro, Ousterhout, "In Search of an Understandable Consensus Algorithm" (2014); Ongaro's thesis
+// (2014), sections 4.1 (voters by one), 3.10 (transfer), 6.4 (lease), 9.6 (pre-vote).
+#ifndef LEMONCROFT_AGREEMENT_TYPES_H_
+#define LEMONCROFT_AGREEMENT_TYPES_H_
+
+#include <chrono>
+#include <cstdint>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace lemoncroft::agreement {
+
+using Span = std::chrono::nanoseconds;
+using Time = std::chrono::time_point<std::chrono::steady_clock, Span>;
+inline constexpr Time kNever = Time::max();
+
+using Name = std::string;  // of a voter; empty: none
+using Term = std::uint64_t;
+using Index = std::uint64_t;
+
+enum class Kind : std::uint8_t { kNothing, kData, kVoters };
+
+struct Entry {
+  Term term = 0;
+  Index index = 0;
+  Kind kind = Kind::kNothing;
+  std::string data;
+  std::vector<Name> voters;  // of kVoters: all of them, from the append on
+  bool operator==(const Entry&) const = default;
+};
+
+// What the log up to an index came to.
+struct Snapshot {
+  Index index = 0;
+  Term term = 0;
+  std::vector<Name> voters;
+  std::string data;
+  bool operator==(const Snapshot&) const = default;
+};
+
+// What must be durable before anything that rests on it is told.
+struct Promise {
+  Term term = 0;
+  Name voted;
+  bool operator==(const Promise&) const = default;
+};
+
+struct Durable {
+  Promise promise;
+  Snapshot snapshot;
+  std::vector<Entry> log;  // behind the snapshot, without a gap
+  bool operator==(const Durable&) const = default;
+};
+
+struct VoteRequest {
+  bool pre = false;     // would you?
+  bool handed = false;  // the leader itself asked it to: its promise not to be disturbed does not count
+  Term term = 0;
+  Index last_index = 0;
+  Term last_term = 0;
+  bool operator==(const VoteRequest&) const = default;
+};
+struct VoteAnswer {
+  bool pre = false;
+  Term term = 0;  // of the request, where granted; else the answerer's
+  bool granted = false;
+  bool operator==(const VoteAnswer&) const = default;
+};
+struct Append {
+  Term term = 0;
+  std::uint64_t beat = 0;
+  Index prev_index = 0;
+  Term prev_term = 0;
+  Index commit = 0;
+  std::vector<Entry> entries;
+  bool operator==(const Append&) const = default;
+};
+struct AppendAnswer {
+  Term term = 0;
+  std::uint64_t beat = 0;
+  bool ok = false;
+  Index match = 0;  // where ok: up to here the logs are the same; else: try from behind here
+  bool operator==(const AppendAnswer&) const = default;
+};
+struct Install {
+  Term term = 0;
+  std::uint64_t beat = 0;
+  Snapshot snapshot;
+  bool operator==(const Install&) const = default;
+};
+// Begin an election at once: the leader goes.
+struct HandOver {
+  Term term = 0;
+  bool operator==(const HandOver&) const = default;
+};
+
+using Message = std::variant<VoteRequest, VoteAnswer, Append, AppendAnswer, Install, HandOver>;
+
+// ---- Outputs, in order ----
+
+// Make this durable, in the order of the numbers; then call Stored.
+struct Store {
+  std::uint64_t number = 0;
+  Promise promise;
+  Index keep_to = 0;           // entries behind this index are dropped first
+  std::vector<Entry> entries;  // then these follow
+  bool whole = false;          // a snapshot takes the place of all that was
+  Snapshot snapshot;           // where `whole`
+};
+// Send this once all up to `after` is durable.
+struct Send {
+  Name to;
+  Message message;
+  std::uint64_t after = 0;
+};
+struct Committed {
+  Entry entry;
+};
+// A snapshot from the leader takes the place of what was committed so far.
+struct Restored {
+  Snapshot snapshot;
+};
+
+using Output = std::variant<Store, Send, Committed, Restored>;
+
+// Parts of the protocol that a test takes away, one at a time. Nothing else sets them.
+struct Guards {
+  bool durable_first = true;       // nothing is told before what it rests on is kept
+  bool own_term = true;            // commitment counts entries of the leader's own term only
+  bool up_to_date = true;          // votes go to logs that are as long
+  bool one_vote = true;            // one vote a term
+  bool pre_vote = true;            // who comes back asks before it disturbs
+  bool sticky = true;              // who hears a leader votes for nobody
+  bool wait_after_start = true;    // ... also if it has just started, and can't know
+  bool match = true;               // entries follow only on the same log
+  bool one_change = true;          // of voters at a time
+  bool step_down = true;           // a leader without a majority is none
+  bool give_up_lease = true;       // before it hands over
+  bool counts_itself_kept = true;  // a leader's own entries count once they are durable
+  bool operator==(const Guards&) const = default;
+};
+
+struct Settings {
+  Span beat = std::chrono::milliseconds(100);            // of a leader
+  Span election_least = std::chrono::milliseconds(600);  // without a word of one
+  Span election_most = std::chrono::milliseconds(1200);
+  double rates_differ = 0.01;                      // of clocks, at the most
+  std::size_t batch = 64;                          // entries in a message
+  std::size_t data_most = std::size_t{256} << 10;  // of an entry
+  Guards guards;
+};
+
+}  // namespace lemoncroft::agreement
+
+#endif  // LEMONCROFT_AGREEMENT_TYPES_H_
--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -196,6 +196,7 @@
                       {"place", standing.place},
                       {"health", view.health()},
                       {"views_differ", view.differing()},
+                      {"turn_us_p99", link_.turns().Percentile(0.99)},
                       {"contested", view.contested()},
                       {"members", ordered_json::array()}};
   for (const Member* m : members) {
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -2,10 +2,12 @@
 #include <CLI/CLI.hpp>
 #include <cstdint>
 #include <cstdio>
+#include <filesystem>
 #include <nlohmann/json.hpp>
 
 #include "measure/line_cost.h"
 #include "measure/morning.h"
+#include "measure/peers.h"
 
 namespace {
 
@@ -67,10 +69,23 @@
   std::printf("%s\n", out.dump().c_str());
 }
 
+void Peers(const lemoncroft::measure::PeersPlan& plan, bool json) {
+  const ordered_json out = lemoncroft::measure::MeasurePeers(plan);
+  if (!json) {
+    std::printf("the view of the fleet, seed %llu\n", static_cast<unsigned long long>(plan.seed));
+    for (const auto& [name, value] : out.items())
+      if (!value.is_object()) std::printf("  %-36s %s\n", name.c_str(), value.dump().c_str());
+    std::printf("  heartbeats of all to all instead:\n");
+    for (const auto& [name, value] : out["heartbeats_all_to_all"].items())
+      std::printf("  %-36s %s\n", name.c_str(), value.dump().c_str());
+  }
+  std::printf("%s\n", out.dump().c_str());
+}
+
 }  // namespace
 
 int main(int argc, char** argv) {
-  CLI::App app("Measurements of lemoncroft in virtual time", "lemoncroft_measure");
+  CLI::App app("Measurements of lemoncroft", "lemoncroft_measure");
   app.require_subcommand(1);
   std::uint64_t seed = 1;
   double seconds = 1200;
@@ -81,7 +96,20 @@
       ->capture_default_str()
       ->check(CLI::Range(60, 7200));
   waiting->add_flag("--json", json, "the JSON object alone");
+  lemoncroft::measure::PeersPlan plan;
+  plan.trial = (std::filesystem::path(argv[0]).parent_path() / "lemoncroft_trial").string();
+  bool virtual_only = false;
+  CLI::App* peers =
+      app.add_subcommand("peers", "the view of the fleet, in virtual time and on real processes");
+  peers->add_option("--seed", seed, "of all that is drawn")->capture_default_str();
+  peers->add_flag("--virtual", virtual_only, "no real processes");
+  peers->add_flag("--json", json, "the JSON object alone");
   CLI11_PARSE(app, argc, argv);
-  Waiting(seed, seconds, json);
+  plan.seed = seed;
+  plan.real = !virtual_only;
+  if (*peers)
+    Peers(plan, json);
+  else
+    Waiting(seed, seconds, json);
   return 0;
 }
--- /dev/null
+++ b/src/measure/peers.cpp
@@ -0,0 +1,288 @@
+#include "measure/peers.h"
+
+#include <algorithm>
+#include <array>
+#include <chrono>
+#include <cstdio>
+#include <stdexcept>
+#include <thread>
+#include <vector>
+
+#include "measure/heartbeats.h"
+#include "standin/peer_fleet.h"
+
+namespace lemoncroft::measure {
+
+using namespace std::chrono_literals;
+using nlohmann::ordered_json;
+using peers::Change;
+using standin::Instant;
+using standin::Node;
+using standin::PeerFleet;
+using standin::Process;
+
+namespace {
+
+constexpr std::array<std::size_t, 3> kSizes = {16, 128, 1024};
+constexpr double kLateMost = 3, kLateEvery = 6;
+constexpr double kHorizon = 40;  // periods that a fleet is watched for after a heal
+constexpr int kRigs = 4, kTrialsEach = 10;
+
+double PercentileOf(std::vector<double> values, double part) {
+  if (values.empty()) return 0;
+  std::sort(values.begin(), values.end());
+  const auto at = static_cast<std::size_t>(part * static_cast<double>(values.size()));
+  return values[std::min(at, values.size() - 1)];
+}
+
+// A fleet that has known itself for long.
+struct Settled {
+  explicit Settled(std::size_t n, std::uint64_t seed) : fleet({seed, {}, 0.01}) {
+    for (Node i = 0; i < n; ++i) fleet.Start(i, "n" + std::to_string(i), {0, 1, 2});
+    fleet.Introduce();
+    Run(20);
+    fleet.on_event = [this](const PeerFleet::Seen& seen) {
+      if (seen.event.change != Change::kFailed) return;
+      const auto about = fleet.process_of(seen.event.record.id);
+      if (about && fleet.lives(*about)) ++wrong;
+      if (about && *about == watched) failed_at.push_back(seen.at);
+    };
+  }
+  Instant Periods(double count) const {
+    return Instant(static_cast<Instant::rep>(count * static_cast<double>(fleet.Period().count())));
+  }
+  double In(Instant span) const {
+    return static_cast<double>(span.count()) / static_cast<double>(fleet.Period().count());
+  }
+  void Run(double periods) { fleet.RunFor(Periods(periods)); }
+
+  // When the views last differed, of the periods to come; the horizon where they still do at its end.
+  double SettledAfter() {
+    const Instant since = fleet.now();
+    double last = 0;
+    for (double at = 0; at < kHorizon; at += 0.25) {
+      if (!fleet.Agreed()) last = In(fleet.now() - since) + 0.25;
+      Run(0.25);
+    }
+    return last;
+  }
+
+  PeerFleet fleet;
+  int wrong = 0;
+  Process watched = 0;
+  std::vector<Instant> failed_at;
+};
+
+struct Crashes {
+  std::vector<double> detect, known_all;
+};
+
+Crashes PlayCrashes(std::size_t n, std::size_t count, std::uint64_t seed) {
+  Settled world(n, seed);
+  std::mt19937_64 random(seed);
+  Crashes out;
+  for (std::size_t i = 0; i < count; ++i) {
+    world.watched = i + 3;
+    world.failed_at.clear();
+    world.Run(static_cast<double>(random() % 1000) / 1000);
+    const Instant at = world.fleet.now();
+    world.fleet.Kill(world.watched);
+    world.Run(30);
+    if (world.failed_at.size() < world.fleet.living()) {
+      out.known_all.push_back(1e3);  // some never learnt
+      continue;
+    }
+    out.detect.push_back(world.In(world.failed_at.front() - at));
+    out.known_all.push_back(world.In(world.failed_at.back() - at));
+  }
+  return out;
+}
+
+double PlayPartitions(std::size_t n, std::size_t count, std::uint64_t seed) {
+  double worst = 0;
+  for (std::size_t i = 0; i < count; ++i) {
+    Settled world(n, seed + i);
+    const int sides = 2 + static_cast<int>(i / 2 % 2);
+    for (Node node = 0; node < n; ++node) world.fleet.links().Side(node, static_cast<int>(node) % sides);
+    world.fleet.RunFor(i % 2 == 0 ? Instant(2s) : Instant(60s));
+    world.fleet.links().Heal();
+    worst = std::max(worst, world.SettledAfter());
+  }
+  return worst;
+}
+
+struct Quiet {
+  double bytes_per_s = 0, messages_per_s = 0;
+};
+
+Quiet PlayQuiet(std::size_t n, double seconds, std::uint64_t seed) {
+  Settled world(n, seed);
+  world.Run(40);
+  std::uint64_t bytes = 0, messages = 0;
+  const auto count = [&] {
+    bytes = messages = 0;
+    for (Process p = 0; p < world.fleet.size(); ++p) {
+      bytes += world.fleet.sent(p).bytes;
+      messages += world.fleet.sent(p).messages;
+    }
+  };
+  count();
+  const std::uint64_t bytes_before = bytes, messages_before = messages;
+  world.fleet.RunFor(Instant(static_cast<Instant::rep>(seconds * 1e9)));
+  count();
+  const double part = seconds * static_cast<double>(n);
+  return {static_cast<double>(bytes - bytes_before) / part,
+          static_cast<double>(messages - messages_before) / part};
+}
+
+double FalseFailuresPerHour(std::size_t n, double seconds, std::uint64_t seed) {
+  Settled world(n, seed);
+  world.fleet.links().usual().loss = 0.02;
+  std::mt19937_64 random(seed);
+  const double rounds = seconds / 0.25 / kLateEvery;
+  for (double round = 0; round < rounds; ++round) {
+    for (Process p = 0; p < n / 50; ++p) {
+      const double late = kLateMost * static_cast<double>(random() >> 11) * 0x1.0p-53;
+      world.fleet.Stall(n - 1 - p, world.Periods(late));
+    }
+    world.Run(kLateEvery);
+  }
+  return world.wrong * 3600 / seconds;
+}
+
+bool Deterministic(std::uint64_t seed) {
+  const auto trace = [seed] {
+    Settled world(64, seed);
+    world.fleet.links().usual().loss = 0.05;
+    world.fleet.Kill(9);
+    world.Run(60);
+    return world.fleet.trace();
+  };
+  return trace() == trace();
+}
+
+std::string OfSize(const char* name, std::size_t n) { return std::string(name) + "_" + std::to_string(n); }
+
+// A program's output; throws std::runtime_error where it can't be started.
+std::string OutputOf(const std::string& command) {
+  FILE* pipe = ::popen(command.c_str(), "r");
+  if (pipe == nullptr) throw std::runtime_error("cannot start " + command);
+  std::string out;
+  char bytes[4096];
+  for (std::size_t n; (n = std::fread(bytes, 1, sizeof bytes, pipe)) > 0;) out.append(bytes, n);
+  ::pclose(pipe);
+  return out;
+}
+
+ordered_json LastLine(const std::string& text) {
+  const std::size_t end = text.find_last_not_of('\n');
+  if (end == std::string::npos) return ordered_json::object();
+  const std::size_t from = text.rfind('\n', end);
+  ordered_json json =
+      ordered_json::parse(text.substr(from == std::string::npos ? 0 : from + 1), nullptr, false);
+  return json.is_object() ? json : ordered_json::object();
+}
+
+// Random trials, some rigs beside each other; then a fleet of sixteen by itself, for what it costs.
+ordered_json PlayReal(const PeersPlan& plan) {
+  std::vector<std::string> outputs(kRigs);
+  {
+    std::vector<std::jthread> rigs;
+    for (int i = 0; i < kRigs; ++i)
+      rigs.emplace_back([&, i] {
+        outputs[static_cast<std::size_t>(i)] =
+            OutputOf(plan.trial + " --random " +
+                     std::to_string(plan.seed * 1000 + static_cast<std::uint64_t>(i * kTrialsEach) + 1) +
+                     " --count " + std::to_string(kTrialsEach) + " --proxies 6");
+      });
+  }
+  double trials = 0, failed = 0, voided = 0, settle = 0, detect = 0, join = 0;
+  outputs.push_back(OutputOf(plan.trial + " --calm 16"));
+  const ordered_json calm = LastLine(outputs.back());
+  for (const std::string& output : outputs) {
+    const ordered_json one = LastLine(output);
+    trials += one.value("trials", 0.0);
+    failed += one.value("trials_failed", 1.0);  // a rig that says nothing has failed
+    voided += one.value("real_void", 0.0);
+    settle = std::max(settle, one.value("real_settle_ms", 0.0));
+    detect = std::max(detect, one.value("real_detect_ms", 0.0));
+    join = std::max(join, one.value("real_join_ms", 0.0));
+    if (one.value("trials_failed", 1.0) > 0) std::fputs(output.c_str(), stderr);
+  }
+  return {{"real_join_ms", join},
+          {"real_detect_ms", detect},
+          {"real_settle_ms", settle},
+          {"real_void", voided},
+          {"trials", trials},
+          {"trials_failed", failed},
+          {"loop_stall_us_p99", calm.value("turn_us_p99", 0.0)},
+          {"cost_percent", calm.value("cpu_percent", 0.0)}};
+}
+
+ordered_json Heartbeats(std::uint64_t seed) {
+  ordered_json out;
+  for (const std::size_t n : kSizes) {
+    const HeartbeatResult crashes =
+        PlayHeartbeats({.seed = seed, .members = n, .crashes = n > 500 ? std::size_t{2} : std::size_t{10}});
+    out[OfSize("known_all_periods_p99", n)] = PercentileOf(crashes.known_all, 0.99);
+    out[OfSize("bytes_per_s", n)] = crashes.bytes_per_s;
+    out[OfSize("messages_per_s", n)] = crashes.messages_per_s;
+    if (n != 128) continue;
+    out["detect_periods_p50"] = PercentileOf(crashes.detect, 0.5);
+    out["detect_periods_p99"] = PercentileOf(crashes.detect, 0.99);
+    out["false_failures_per_hour"] =
+        PlayHeartbeats(
+            {.seed = seed, .members = n, .crashes = 0, .loss = 0.02, .late = n / 50, .periods = 1200})
+            .false_failures_per_hour;
+  }
+  return out;
+}
+
+}  // namespace
+
+ordered_json MeasurePeers(const PeersPlan& plan) {
+  ordered_json out = {{"measurement", "peers"}, {"seed", plan.seed}};
+  std::array<Crashes, 3> crashes;
+  std::array<double, 3> settle{};
+  std::array<Quiet, 3> quiet;
+  double wrong = 0;
+  ordered_json baseline;
+  {
+    // Each is a world of its own; four cores.
+    std::jthread small([&] {
+      for (std::size_t i = 0; i < 2; ++i) {
+        crashes[i] = PlayCrashes(kSizes[i], kSizes[i] == 16 ? 12 : 60, plan.seed);
+        settle[i] = PlayPartitions(kSizes[i], 8, plan.seed);
+        quiet[i] = PlayQuiet(kSizes[i], 60, plan.seed);
+      }
+      baseline = Heartbeats(plan.seed);
+    });
+    std::jthread large([&] {
+      crashes[2] = PlayCrashes(1024, 10, plan.seed);
+      quiet[2] = PlayQuiet(1024, 20, plan.seed);
+    });
+    std::jthread parted([&] { settle[2] = PlayPartitions(1024, 2, plan.seed); });
+    wrong = FalseFailuresPerHour(128, 1200, plan.seed);
+  }
+  // Of a fleet of sixteen only a few can crash in one world.
+  for (std::uint64_t more = 1; more <= 4; ++more) {
+    const Crashes again = PlayCrashes(16, 12, plan.seed + more);
+    crashes[0].detect.insert(crashes[0].detect.end(), again.detect.begin(), again.detect.end());
+    crashes[0].known_all.insert(crashes[0].known_all.end(), again.known_all.begin(), again.known_all.end());
+  }
+  out["detect_periods_p50"] = PercentileOf(crashes[1].detect, 0.5);
+  out["detect_periods_p99"] = PercentileOf(crashes[1].detect, 0.99);
+  for (std::size_t i = 0; i < kSizes.size(); ++i) {
+    out[OfSize("known_all_periods_p99", kSizes[i])] = PercentileOf(crashes[i].known_all, 0.99);
+    out[OfSize("settle_periods_after_heal", kSizes[i])] = settle[i];
+    out[OfSize("bytes_per_s", kSizes[i])] = quiet[i].bytes_per_s;
+    out[OfSize("messages_per_s", kSizes[i])] = quiet[i].messages_per_s;
+  }
+  out["false_failures_per_hour"] = wrong;
+  out["deterministic"] = Deterministic(plan.seed) ? 1 : 0;
+  if (plan.real) out.update(PlayReal(plan));
+  out["heartbeats_all_to_all"] = std::move(baseline);
+  return out;
+}
+
+}  // namespace lemoncroft::measure
--- /dev/null
+++ b/src/measure/peers.h
@@ -0,0 +1,25 @@
+// The view of the fleet, measured: in virtual time up to 1,024 members, on real processes with the trial rig,
+// and against plain heartbeats of all to all.
+//
+// Deterministic for a seed in virtual time. Owner: the command line. Units: periods of the view, unless a
+// name says otherwise.
+#ifndef LEMONCROFT_MEASURE_PEERS_H_
+#define LEMONCROFT_MEASURE_PEERS_H_
+
+#include <cstdint>
+#include <nlohmann/json.hpp>
+#include <string>
+
+namespace lemoncroft::measure {
+
+struct PeersPlan {
+  std::uint64_t seed = 1;
+  bool real = true;   // false: virtual time alone
+  std::string trial;  // the program that plays trials
+};
+
+nlohmann::ordered_json MeasurePeers(const PeersPlan& plan);
+
+}  // namespace lemoncroft::measure
+
+#endif  // LEMONCROFT_MEASURE_PEERS_H_
--- a/src/peerlink/link.cpp
+++ b/src/peerlink/link.cpp
@@ -3,6 +3,8 @@
 #include <arpa/inet.h>
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+#include <bit>
 #include <random>
 #include <system_error>
 
@@ -58,6 +60,22 @@
 
 }  // namespace
 
+void TurnTimes::Add(runtime::Span turn) {
+  const auto us =
+      static_cast<std::uint64_t>(std::max<runtime::Span::rep>(0, turn / std::chrono::microseconds(1)));
+  ++buckets_[std::min<std::size_t>(static_cast<std::size_t>(std::bit_width(us)), buckets_.size() - 1)];
+  ++all_;
+}
+
+std::uint64_t TurnTimes::Percentile(double part) const {
+  std::uint64_t seen = 0;
+  for (std::size_t i = 0; i < buckets_.size(); ++i) {
+    seen += buckets_[i];
+    if (static_cast<double>(seen) >= part * static_cast<double>(all_)) return std::uint64_t{1} << i;
+  }
+  return 0;
+}
+
 runtime::Address ToAddress(const peers::Endpoint& endpoint) {
   runtime::Address address;
   address.raw.sin_family = AF_INET;
@@ -130,6 +148,7 @@
     if (view_.due() > now) continue;
     view_.Step(now);
     Pump();
+    turns_.Add(Now() - now);
     co_await loop_.NextTurn();
   }
 }
@@ -148,8 +167,10 @@
     const auto message = Read(received.bytes, received.whole ? peers::kDatagramMost : 0);
     if (const auto* good = std::get_if<Message>(&message)) {
       if (const auto* datagram = std::get_if<peers::Datagram>(good)) {
-        view_.Receive(Now(), *datagram);
+        const Time begun = Now();
+        view_.Receive(begun, *datagram);
         Pump();
+        turns_.Add(Now() - begun);
       } else {
         ++figures_.faults[static_cast<std::size_t>(Fault::kMalformed)];
       }
--- a/src/peerlink/link.h
+++ b/src/peerlink/link.h
@@ -35,6 +35,17 @@
   std::array<std::uint64_t, kFaults> faults{};
 };
 
+// How long turns of the view keep the loop, in buckets of powers of two of microseconds.
+class TurnTimes {
+ public:
+  void Add(runtime::Span turn);
+  std::uint64_t Percentile(double part) const;  // the upper end of its bucket, in microseconds
+
+ private:
+  std::array<std::uint64_t, 32> buckets_{};
+  std::uint64_t all_ = 0;
+};
+
 runtime::Address ToAddress(const peers::Endpoint& endpoint);
 peers::Endpoint ToEndpoint(const runtime::Address& address);
 std::string Text(const peers::Endpoint& endpoint);
@@ -52,6 +63,7 @@
 
   const peers::View& view() const { return view_; }
   const Figures& figures() const { return figures_; }
+  const TurnTimes& turns() const { return turns_; }
   const peers::Endpoint& address() const { return listen_; }
 
  private:
@@ -74,6 +86,7 @@
   peers::View view_;
   Heard heard_;
   Figures figures_;
+  TurnTimes turns_;
   runtime::Gate sooner_;
   runtime::Time planned_ = runtime::kNever;
   std::size_t in_ = 0, out_ = 0;
--- /dev/null
+++ b/src/rules/lease.cpp
@@ -0,0 +1,97 @@
+#include "rules/lease.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace lemoncroft::rules {
+namespace {
+
+constexpr std::size_t kAskedMost = 16;                  // renewals without an answer
+constexpr std::size_t kPairsMost = 11;                  // ten beats of comparing clocks
+constexpr Span kNoise = std::chrono::milliseconds(20);  // a message's way, in a comparison of clocks
+
+Span Scaled(Span span, double by) {
+  return Span(static_cast<Span::rep>(static_cast<double>(span.count()) * by));
+}
+
+}  // namespace
+
+// ---- Holder ----
+
+Renewal Holder::Ask(Time now) {
+  asked_[++number_] = now;
+  while (asked_.size() > kAskedMost) asked_.erase(asked_.begin());
+  return {number_, prepared_};
+}
+
+void Holder::Take(Time now, const Grant& grant) {
+  const auto asked = asked_.find(grant.number);
+  if (asked == asked_.end()) return;  // not asked for, answered before, or too long ago
+  const Time since = terms_.guards.from_asking ? asked->second : now;
+  asked_.erase(asked_.begin(), std::next(asked));
+  CompareRates(now, grant);
+  newest_ = std::max(newest_, grant.newest);
+  if (grant.in_force < in_force_ && terms_.guards.never_back) return;  // of a leader that was
+  in_force_ = grant.in_force;
+  const Span lease =
+      terms_.guards.shorter_by_rates ? Scaled(terms_.lease, 1 - terms_.rates_differ) : terms_.lease;
+  const Time ends = since + lease;
+  ends_ = std::max(ends_, ends);
+  ticked_ = true;
+}
+
+void Holder::CompareRates(Time now, const Grant& grant) {
+  if (reign_ != grant.reign) pairs_.clear();
+  reign_ = grant.reign;
+  pairs_.push_back({now, grant.leaders_clock});
+  if (pairs_.size() > kPairsMost) pairs_.pop_front();
+  if (pairs_.size() < kPairsMost) return;
+  const Span own = pairs_.back().own - pairs_.front().own;
+  const Span leaders = pairs_.back().leaders - pairs_.front().leaders;
+  const Span apart = own > leaders ? own - leaders : leaders - own;
+  apart_ = apart > Scaled(own, terms_.rates_differ) + kNoise;
+}
+
+void Holder::Prepared(Version version) { prepared_ = std::max(prepared_, version); }
+
+std::optional<Version> Holder::MayAct(Time now) const {
+  const bool leased = terms_.guards.checked_at_act ? now < ends_ : ticked_;
+  if (!leased || apart_ || in_force_ == 0 || prepared_ < in_force_) return std::nullopt;
+  return in_force_;
+}
+
+// ---- Granter ----
+
+void Granter::Begin(Time now, std::uint64_t reign) {
+  begun_ = now;
+  reign_ = reign;
+  books_.clear();
+}
+
+std::optional<Grant> Granter::Answer(Time now, bool leads, const std::string& from, const Renewal& renewal,
+                                     Version in_force, Version newest) {
+  if (!leads && terms_.guards.only_while_leading) return std::nullopt;
+  // It holds from when it asked, which was before now; its clock may be slower than this one.
+  const Span lease =
+      terms_.guards.shorter_by_rates ? Scaled(terms_.lease, 1 + terms_.rates_differ) : terms_.lease;
+  Booked& booked = books_[from];
+  booked.until = now + lease;
+  booked.prepared = std::max(booked.prepared, renewal.prepared);
+  return Grant{renewal.number, in_force, newest, now - begun_, reign_};
+}
+
+bool Granter::MayEnforce(Time now, bool leads, Version version) const {
+  if (!leads && terms_.guards.only_while_leading) return false;
+  const Span books = Scaled(terms_.lease, 1 + 2 * terms_.rates_differ);
+  if (now < begun_ + books && terms_.guards.wait_after_election) return false;
+  return !terms_.guards.wait_for_prepared || Missing(now, version).empty();
+}
+
+std::map<std::string, Version> Granter::Missing(Time now, Version version) const {
+  std::map<std::string, Version> missing;
+  for (const auto& [name, booked] : books_)
+    if (booked.until > now && booked.prepared < version) missing[name] = booked.prepared;
+  return missing;
+}
+
+}  // namespace lemoncroft::rules
--- a/src/trial/rig.h
+++ b/src/trial/rig.h
@@ -13,6 +13,7 @@
 
 #include "standin/links.h"
 #include "trial/history.h"
+#include "trial/load.h"
 #include "trial/process.h"
 #include "trial/relay.h"
 #include "trial/script.h"
@@ -28,6 +29,10 @@
   Outcome Play();
   const History& history() const { return history_; }
   Time started() const { return start_; }
+  // Of each process that ran at the end: part of a core since its start; what one turn of the view takes.
+  const std::vector<double>& cpu_percent() const { return cpu_percent_; }
+  const std::vector<double>& turn_us() const { return turn_us_; }
+  Tally tally() const;  // of all clients
 
  private:
   struct Actor {
@@ -46,6 +51,10 @@
   Actor* Find(const std::string& name);  // that runs, the newest
   std::size_t MachineOf(const std::string& name) const;
   void Heard(Actor& actor, const std::string& line);
+  bool Logged(const std::string& name, const std::string& text) const;
+  void TakeFigures();
+  void StartLoad();
+  void CheckLoad();
 
   runtime::Task<> Direct();
   void Do(const Action& action);
@@ -66,9 +75,13 @@
   runtime::Descriptor lock_;
   std::vector<runtime::Descriptor> listening_;  // the clients' of each machine
   std::unique_ptr<Relay> relay_;
+  std::vector<std::unique_ptr<StandInEngine>> engines_;
+  std::unique_ptr<StandInFeed> feed_;
+  std::vector<std::unique_ptr<StandInClient>> clients_;  // of machine 1 and on
   std::vector<std::unique_ptr<Actor>> actors_;
   History history_;
   std::vector<std::string> voided_, broken_;
+  std::vector<double> cpu_percent_, turn_us_;
   Time start_{};
   bool parted_ = false, stormy_ = false;
   int flapping_ = 0;
--- a/src/trial/script.cpp
+++ b/src/trial/script.cpp
@@ -34,7 +34,8 @@
                             {"part", Verb::kPart, -1, false},
                             {"heal", Verb::kHeal, 0, false},
                             {"weather", Verb::kWeather, 0, false},
-                            {"lie", Verb::kLie, 1, false}};
+                            {"lie", Verb::kLie, 1, false},
+                            {"logged", Verb::kLogged, 2, false}};
 constexpr const char* kFigures[] = {"loss", "duplicate", "garble", "delay_ms", "spread_ms", "rate"};
 constexpr double kMachinesMost = 200;
 
@@ -84,6 +85,7 @@
       {"settle", [&](const KdlNode& n) { op::ReadNumber(n, 1, 1000, trial.settle, faults); }},
       {"seed", [&](const KdlNode& n) { op::ReadCount(n, 1e15, seed, faults); }},
       {"busy", [&](const KdlNode& n) { op::ReadFlag(n, trial.busy, faults); }},
+      {"load", [&](const KdlNode& n) { op::ReadNumber(n, 0, 2000, trial.load, faults); }},
       {"seeds",
        [&](const KdlNode& n) {
          trial.seeds.clear();
@@ -115,6 +117,7 @@
     trial_.name = "random " + std::to_string(seed);
     trial_.seed = seed;
     trial_.proxies = proxies;
+    trial_.load = 50;
     for (std::size_t i = 1; i <= proxies; ++i) living_.push_back("n" + std::to_string(i));
   }
 
@@ -224,6 +227,7 @@
   out += "  proxies " + std::to_string(trial.proxies) + "\n  period \"" + Ms(trial.period) + "\"\n";
   out += "  settle " + std::to_string(static_cast<int>(trial.settle)) + "\n";
   out += "  seed " + std::to_string(trial.seed) + "\n";
+  if (trial.load > 0) out += "  load " + std::to_string(static_cast<int>(trial.load)) + "\n";
   if (trial.busy) out += "  busy #true\n";
   out += "  seeds";
   for (const std::string& seed : trial.seeds) out += " \"" + seed + "\"";
--- a/src/trial/script.h
+++ b/src/trial/script.h
@@ -44,6 +44,7 @@
   kHeal,
   kWeather,  // of all links
   kLie,      // datagrams with invented members, from one machine's address to all
+  kLogged,   // NAME TEXT: at the end some process of that name has the text in its log
 };
 
 struct Action {
@@ -64,6 +65,7 @@
   double settle = 20;           // periods from the last fault until all views agree
   std::uint64_t seed = 1;       // of the links
   bool busy = false;            // clients ask without a pause
+  double load = 0;              // requests a second from a client of each proxy, with engines to run them
   std::vector<Action> actions;  // by time
 };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -6,6 +6,8 @@
 #include <map>
 #include <set>
 
+#include "subset/subset.h"
+
 namespace lemoncroft {
 namespace {
 
@@ -941,6 +943,90 @@
   EXPECT_GT(EnginesUsed(s, 1, 60).size(), 30u) << "two gateways share every engine";
 }
 
+// By place every engine is in as many subsets as any other, but for one, and little moves when one comes or
+// goes.
+TEST(Subset, ByPlaceIsEvenAndMovesLittle) {
+  std::vector<EngineId> engines;
+  for (EngineId id = 1; id <= 80; ++id) engines.push_back(id * 977);
+  for (const int gateways : {1, 2, 7, 100, 299, 300}) {
+    std::map<EngineId, int> sharing;
+    for (const EngineId id : engines) sharing[id] = 0;
+    std::size_t moved_by_gateway = 0, moved_by_engine = 0;
+    std::vector<EngineId> fewer(engines.begin() + 1, engines.end());
+    for (int place = 0; place < gateways; ++place) {
+      const auto own = subset::ByPlace(engines, gateways, place);
+      EXPECT_EQ(own.size(), subset::Size(engines.size(), gateways));
+      for (const EngineId id : own) ++sharing[id];
+      const std::set<EngineId> now(own.begin(), own.end());
+      EXPECT_EQ(now.size(), own.size());
+      for (const EngineId id : subset::ByPlace(engines, gateways + 1, place))
+        moved_by_gateway += !now.contains(id);
+      for (const EngineId id : subset::ByPlace(fewer, gateways, place)) moved_by_engine += !now.contains(id);
+    }
+    int least = gateways, most = 0;
+    for (const auto& [id, count] : sharing) least = std::min(least, count), most = std::max(most, count);
+    EXPECT_LE(most - least, gateways <= 25 ? 0 : static_cast<int>(subset::Size(80, gateways) / 5 + 1))
+        << gateways;
+    EXPECT_LE(most, subset::Sharers(engines.size(), gateways)) << gateways;
+    if (gateways < 100) continue;
+    EXPECT_LE(moved_by_gateway, 2u * static_cast<std::size_t>(gateways)) << "a gateway more";
+    EXPECT_LE(moved_by_engine, 2u * static_cast<std::size_t>(gateways)) << "an engine less";
+  }
+}
+
+TEST(Siblings, TakeThePlaceOfWhatTheSettingsTellAlsoOverAReload) {
+  Settings s = SomeSettings();
+  s.gateways = 2;
+  const auto used = [&](bool told, bool reloaded) {
+    Host host(s);
+    if (told) host.Step({Siblings{100, 3}});
+    if (reloaded) host.Step({Retuned{std::make_shared<Settings>(s), {0, 1, 2}}});
+    std::vector<EngineEntry> fleet;
+    for (EngineId id = 1; id <= 60; ++id) fleet.push_back(Ready(id));
+    host.List(fleet);
+    std::set<EngineId> engines;
+    for (RequestId id = 1; id <= 300; ++id) {
+      Request ask = Ask(id, 0, 4 * kSecond, kMs);
+      ask.tables = static_cast<std::uint32_t>(id);
+      host.Step({ask});
+      if (host.engine_of.contains(id))
+        engines.insert(host.engine_of[id]), host.End(id, Outcome::kOk, kMs, kMs);
+    }
+    return engines.size();
+  };
+  EXPECT_GT(used(false, false), 30u);
+  EXPECT_LE(used(true, false), 15u);
+  EXPECT_LE(used(true, true), 15u);
+}
+
+// A cold engine's budget, divided by who is known to live: all gateways together stay within what it bears,
+// also when every one of them is flooded and would guess that the whole demand is its own.
+TEST(Siblings, TogetherKeepWithinAColdEnginesBudget) {
+  Settings s = SomeSettings();
+  s.fall_window = kSecond;
+  s.overload_multiple = 4;
+  s.cold_from = 0.3;
+  s.warm_within = 14 * kSecond;
+  constexpr int kGateways = 20;
+  double work = 0;  // thread seconds sent to the cold engine within its first second
+  for (int place = 0; place < kGateways; ++place) {
+    Host host(s, 5 + place);
+    host.Step({Siblings{kGateways, place}});
+    host.now = kSecond;
+    EngineEntry cold = Ready(1);
+    cold.started_at = host.now;
+    host.List({cold});
+    for (RequestId id = 1; id <= 200; ++id) {
+      host.Step({Ask(id, 0, 4 * kSecond, 100 * kMs)});
+      host.RunUntil(host.now + 5 * kMs);
+    }
+    work += 0.1 * static_cast<double>(host.sends.size());
+  }
+  const double cores = s.kinds.empty() || s.kinds[0].cores <= 0 ? 1 : s.kinds[0].cores;
+  EXPECT_LE(work, s.overload_multiple * s.cold_from * cores * 1.15) << "of " << kGateways << " gateways";
+  EXPECT_GT(work, 0);
+}
+
 TEST(Determinism, TheSameEventsGiveTheSameActions) {
   auto run = [] {
     Host host(SomeSettings(), 11);
--- /dev/null
+++ b/tests/off_test.cpp
@@ -0,0 +1,109 @@
+// Without an operator's file the program asks the system for just what it asked for before there was a view
+// of the fleet: no further socket, descriptor, datagram or draw of randomness. Counted by tracing the program
+// from its exec to its end; the figures were recorded with the program as it was then.
+#include <gtest/gtest.h>
+#include <signal.h>
+#include <sys/ptrace.h>
+#include <sys/syscall.h>
+#include <sys/user.h>
+#include <sys/wait.h>
+#include <unistd.h>
+
+#include <chrono>
+#include <cstdlib>
+#include <fstream>
+#include <map>
+#include <string>
+#include <thread>
+
+namespace {
+
+using Counts = std::map<std::string, int>;
+
+const std::map<long, const char*> kCounted = {
+    {SYS_socket, "socket"},        {SYS_bind, "bind"},           {SYS_listen, "listen"},
+    {SYS_connect, "connect"},      {SYS_sendto, "sendto"},       {SYS_recvfrom, "recvfrom"},
+    {SYS_sendmsg, "sendmsg"},      {SYS_recvmsg, "recvmsg"},     {SYS_socketpair, "socketpair"},
+    {SYS_pipe2, "pipe2"},          {SYS_eventfd2, "eventfd2"},   {SYS_epoll_create1, "epoll_create1"},
+    {SYS_epoll_ctl, "epoll_ctl"},  {SYS_signalfd4, "signalfd4"}, {SYS_timerfd_create, "timerfd_create"},
+    {SYS_clone, "clone"},          {SYS_clone3, "clone3"},       {SYS_fsync, "fsync"},
+    {SYS_rename, "rename"},        {SYS_unlink, "unlink"},       {SYS_mkdir, "mkdir"},
+    {SYS_setsockopt, "setsockopt"}};
+
+// Runs the program to its end; SIGTERM comes once it has listened for a while.
+Counts Traced(const std::string& program, const std::string& config) {
+  const pid_t pid = ::fork();
+  if (pid == 0) {
+    ::ptrace(PTRACE_TRACEME, 0, nullptr, nullptr);
+    ::execl(program.c_str(), program.c_str(), "serve", "--config", config.c_str(), "--log-level", "off",
+            static_cast<char*>(nullptr));
+    ::_exit(127);
+  }
+  Counts counts;
+  int status = 0;
+  ::waitpid(pid, &status, 0);
+  ::ptrace(PTRACE_SETOPTIONS, pid, nullptr, PTRACE_O_TRACESYSGOOD | PTRACE_O_EXITKILL);
+  std::thread ender;
+  int signal = 0;
+  for (bool entering = true;;) {
+    ::ptrace(PTRACE_SYSCALL, pid, nullptr, signal);
+    signal = 0;
+    ::waitpid(pid, &status, 0);
+    if (WIFEXITED(status) || WIFSIGNALED(status)) break;
+    if (WSTOPSIG(status) != (SIGTRAP | 0x80)) {
+      signal = WSTOPSIG(status) == SIGTRAP ? 0 : WSTOPSIG(status);
+      continue;
+    }
+    if (entering) {
+      user_regs_struct regs{};
+      ::ptrace(PTRACE_GETREGS, pid, nullptr, &regs);
+      const auto it = kCounted.find(static_cast<long>(regs.orig_rax));
+      if (it != kCounted.end()) ++counts[it->second];
+      if (regs.orig_rax == SYS_listen && !ender.joinable()) {
+        ender = std::thread([pid] {
+          std::this_thread::sleep_for(std::chrono::milliseconds(700));
+          ::kill(pid, SIGTERM);
+        });
+      }
+    }
+    entering = !entering;
+  }
+  if (ender.joinable()) ender.join();
+  EXPECT_TRUE(WIFEXITED(status) && WEXITSTATUS(status) == 0);
+  return counts;
+}
+
+TEST(Off, AsksTheSystemForWhatItAskedForBefore) {
+  char folder[] = "/tmp/lemoncroft-off-XXXXXX";
+  ASSERT_NE(::mkdtemp(folder), nullptr);
+  const std::string config = std::string(folder) + "/config.json";
+  std::ofstream(config) << R"({"name":"n1","listen":"127.0.0.1:0","seed":"1","feed":"","known":
+{"n":1,"events":[{"n":1,"members":{"revision":1,"complete":true,"members":[
+{"id":"e1","host_port":"127.0.0.1:9","locality":"dc","flavor":"std","cell":0,"phase":"Ready","size":1,
+"up_since_ms":0}]}}]},"limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+"settings":{"siblings":2,"me":0,"zone":0,"dcs":["dc"],"flavors":["std"],"tickNs":5000000,
+"membershipMode":"pushed","requestClasses":[
+{"name":"lookup","promiseNs":600000000,"deadlineNs":3000000000,"credit":1.0,"lateWorth":0.1,"effect":"pure",
+"group":"all"}],"tenants":[{"name":"acme","portion":1.0,"quotaPerS":1000}],
+"report":{"fields":[],"source":"none"},
+"specifics":{"threadsByClass":[1],"holdsTables":[false],"blockedByLoads":[false],"cpuOfKind":[8],
+"ramOfKindMb":[16384],"maxGrantShare":0.4,"takesGrants":true,"ranksHeeded":true,"saysCost":true,
+"memoryShort":"queue","progressNs":0},
+"limits":{"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxAttempts":5,"maxOpen":1000,
+"maxRetryAfterNs":1000000000,"connectTimeoutNs":250000000,"keepaliveNs":15000000000,"probing":true},
+"guarantees":{"answerSlackNs":20000000,"drainGraceNs":250000000,"coldFrom":0.31,
+"warmWithinNs":14000000000,"overloadFactor":4.0,"fallNs":1000000000}}})";
+  const char* program = std::getenv("LEMONCROFT_TRACED");  // to record: the program of another time
+  const Counts counts = Traced(program == nullptr ? LEMONCROFT_PROGRAM : program, config);
+  // At commit 05022c1, three times the same.
+  const Counts recorded = {{"bind", 1},       {"epoll_create1", 1}, {"epoll_ctl", 3}, {"listen", 1},
+                           {"setsockopt", 1}, {"signalfd4", 1},     {"socket", 1}};
+  std::string shown;
+  for (const auto& [name, count] : counts)
+    shown += "{\"" + std::string(name) + "\", " + std::to_string(count) + "}, ";
+  EXPECT_EQ(counts, recorded) << shown;
+  std::remove(config.c_str());
+  ::rmdir(folder);
+}
+
+}  // namespace
