--- a/Makefile
+++ b/Makefile
@@ -7,7 +7,7 @@
 
 # What the build, the tests and the measurements need; asks for nothing that is there already.
 PACKAGES = g++ make cmake clang-format clang-tidy libgtest-dev libspdlog-dev libcli11-dev nlohmann-json3-dev \
-  libboost-dev libpcg-cpp-dev librapidcheck-dev libmsgpack-cxx-dev libxxhash-dev
+  libboost-dev libpcg-cpp-dev librapidcheck-dev libmsgpack-cxx-dev libxxhash-dev libsqlite3-dev
 setup:
 	@missing=$$(dpkg-query -W -f='$${db:Status-Abbrev} $${Package}\n' $(PACKAGES) 2>/dev/null | \
 	  awk '$$1 == "ii" {print $$2}' | sort > /tmp/lemoncroft-have.$$$$; \
--- /dev/null
+++ b/src/standin/disk.cpp
@@ -0,0 +1,225 @@
+#include "standin/disk.h"
+
+#include <sqlite3.h>
+
+#include <algorithm>
+#include <atomic>
+#include <cstring>
+#include <new>
+
+namespace lemoncroft::standin {
+namespace {
+
+struct Handle {
+  sqlite3_file base;
+  Disk* disk;
+  std::shared_ptr<Disk::File>* file;
+};
+
+Handle& Of(sqlite3_file* file) { return *reinterpret_cast<Handle*>(file); }
+
+void Put(std::string& bytes, std::size_t at, const std::string& what) {
+  if (bytes.size() < at + what.size()) bytes.resize(at + what.size(), '\0');
+  bytes.replace(at, what.size(), what);
+}
+
+void Change(std::string& bytes, const Disk::File::Change& change) {
+  if (change.truncate)
+    bytes.resize(change.at, '\0');
+  else
+    Put(bytes, change.at, change.bytes);
+}
+
+int Close(sqlite3_file* file) {
+  delete Of(file).file;
+  Of(file).file = nullptr;
+  return SQLITE_OK;
+}
+
+int Read(sqlite3_file* file, void* into, int size, sqlite3_int64 at) {
+  const std::string& bytes = (*Of(file).file)->now;
+  const auto from = static_cast<std::size_t>(at), wanted = static_cast<std::size_t>(size);
+  const std::size_t there = from >= bytes.size() ? 0 : std::min(wanted, bytes.size() - from);
+  std::memcpy(into, bytes.data() + std::min(from, bytes.size()), there);
+  if (there == wanted) return SQLITE_OK;
+  std::memset(static_cast<char*>(into) + there, 0, wanted - there);
+  return SQLITE_IOERR_SHORT_READ;
+}
+
+int Write(sqlite3_file* file, const void* from, int size, sqlite3_int64 at) {
+  Handle& handle = Of(file);
+  if (!handle.disk->Act()) return SQLITE_IOERR_WRITE;
+  if (!handle.disk->Fits(static_cast<std::uint64_t>(size))) return SQLITE_FULL;
+  Disk::File::Change change{static_cast<std::size_t>(at),
+                            std::string(static_cast<const char*>(from), static_cast<std::size_t>(size)),
+                            false};
+  Change(((*handle.file)->now), change);
+  (*handle.file)->unsynced.push_back(std::move(change));
+  return SQLITE_OK;
+}
+
+int Truncate(sqlite3_file* file, sqlite3_int64 size) {
+  Handle& handle = Of(file);
+  if (!handle.disk->Act()) return SQLITE_IOERR_TRUNCATE;
+  Disk::File::Change change{static_cast<std::size_t>(size), {}, true};
+  Change((*handle.file)->now, change);
+  (*handle.file)->unsynced.push_back(std::move(change));
+  return SQLITE_OK;
+}
+
+int Sync(sqlite3_file* file, int) {
+  Handle& handle = Of(file);
+  if (!handle.disk->Act()) return SQLITE_IOERR_FSYNC;
+  (*handle.file)->synced = (*handle.file)->now;
+  (*handle.file)->unsynced.clear();
+  return SQLITE_OK;
+}
+
+int FileSize(sqlite3_file* file, sqlite3_int64* size) {
+  *size = static_cast<sqlite3_int64>((*Of(file).file)->now.size());
+  return SQLITE_OK;
+}
+
+int Lock(sqlite3_file*, int) { return SQLITE_OK; }
+int CheckReservedLock(sqlite3_file*, int* held) {
+  *held = 0;
+  return SQLITE_OK;
+}
+int FileControl(sqlite3_file*, int, void*) { return SQLITE_NOTFOUND; }
+int SectorSize(sqlite3_file*) { return 512; }
+int Characteristics(sqlite3_file*) { return 0; }
+
+const sqlite3_io_methods kMethods = {1,
+                                     Close,
+                                     Read,
+                                     Write,
+                                     Truncate,
+                                     Sync,
+                                     FileSize,
+                                     Lock,
+                                     Lock,
+                                     CheckReservedLock,
+                                     FileControl,
+                                     SectorSize,
+                                     Characteristics,
+                                     nullptr,
+                                     nullptr,
+                                     nullptr,
+                                     nullptr,
+                                     nullptr,
+                                     nullptr};
+
+Disk& DiskOf(sqlite3_vfs* system) { return *static_cast<Disk*>(system->pAppData); }
+
+int Open(sqlite3_vfs* system, const char* path, sqlite3_file* file, int flags, int* out) {
+  Handle& handle = Of(file);
+  handle.base.pMethods = nullptr;
+  Disk& disk = DiskOf(system);
+  const std::string name = path == nullptr ? "" : path;
+  auto it = disk.files().find(name);
+  if (it == disk.files().end()) {
+    if ((flags & SQLITE_OPEN_CREATE) == 0) return SQLITE_CANTOPEN;
+    if (!disk.Act()) return SQLITE_IOERR;
+    it = disk.files().emplace(name, std::make_shared<Disk::File>()).first;
+  }
+  handle.disk = &disk;
+  handle.file = new std::shared_ptr<Disk::File>(it->second);
+  handle.base.pMethods = &kMethods;
+  if (out != nullptr) *out = flags;
+  return SQLITE_OK;
+}
+
+int Delete(sqlite3_vfs* system, const char* path, int) {
+  Disk& disk = DiskOf(system);
+  if (!disk.Act()) return SQLITE_IOERR_DELETE;
+  return disk.files().erase(path) > 0 ? SQLITE_OK : SQLITE_IOERR_DELETE_NOENT;
+}
+
+int Access(sqlite3_vfs* system, const char* path, int, int* there) {
+  *there = DiskOf(system).files().contains(path) ? 1 : 0;
+  return SQLITE_OK;
+}
+
+int FullPathname(sqlite3_vfs*, const char* path, int size, char* out) {
+  std::strncpy(out, path, static_cast<std::size_t>(size));
+  out[size - 1] = '\0';
+  return SQLITE_OK;
+}
+
+int Randomness(sqlite3_vfs*, int size, char* out) {
+  std::memset(out, 7, static_cast<std::size_t>(size));
+  return size;
+}
+int Sleep(sqlite3_vfs*, int us) { return us; }
+int CurrentTime(sqlite3_vfs*, double* now) {
+  *now = 2'460'000;
+  return SQLITE_OK;
+}
+int LastError(sqlite3_vfs*, int, char*) { return 0; }
+
+std::atomic<int> disks{0};
+
+}  // namespace
+
+Disk::Disk() : name_("lemoncroft-disk-" + std::to_string(disks++)) {
+  auto* system = new sqlite3_vfs{};
+  system->iVersion = 1;
+  system->szOsFile = sizeof(Handle);
+  system->mxPathname = 512;
+  system->zName = name_.c_str();
+  system->pAppData = this;
+  system->xOpen = Open;
+  system->xDelete = Delete;
+  system->xAccess = Access;
+  system->xFullPathname = FullPathname;
+  system->xRandomness = Randomness;
+  system->xSleep = Sleep;
+  system->xCurrentTime = CurrentTime;
+  system->xGetLastError = LastError;
+  sqlite3_vfs_register(system, 0);
+  system_ = system;
+}
+
+Disk::~Disk() {
+  auto* system = static_cast<sqlite3_vfs*>(system_);
+  sqlite3_vfs_unregister(system);
+  delete system;
+}
+
+bool Disk::Act() { return ++operations_ < fail_from_; }
+
+bool Disk::Fits(std::uint64_t more) const {
+  std::uint64_t used = 0;
+  for (const auto& [name, file] : files_) used += file->now.size();
+  return used + more <= room_;
+}
+
+void Disk::Crash(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  for (auto& [name, file] : files_) {
+    auto fresh = std::make_shared<File>();
+    fresh->synced = file->synced;
+    std::vector<File::Change> changes = std::move(file->unsynced);
+    std::shuffle(changes.begin(), changes.end(), random);
+    changes.resize(changes.empty() ? 0 : random() % (changes.size() + 1));
+    if (!changes.empty() && !changes.back().truncate && !changes.back().bytes.empty())
+      changes.back().bytes.resize(random() % changes.back().bytes.size());
+    for (const File::Change& change : changes) Change(fresh->synced, change);
+    fresh->now = fresh->synced;
+    file = std::move(fresh);
+  }
+  fail_from_ = UINT64_MAX;
+  room_ = UINT64_MAX;
+}
+
+void Disk::Flip(const std::string& file, std::size_t bit) {
+  std::string& bytes = files_.at(file)->now;
+  bytes[bit / 8] = static_cast<char>(bytes[bit / 8] ^ (1 << bit % 8));
+}
+
+std::size_t Disk::SizeOf(const std::string& file) const {
+  const auto it = files_.find(file);
+  return it == files_.end() ? 0 : it->second->now.size();
+}
+
+}  // namespace lemoncroft::standin
