--- a/src/model/log_world.cpp
+++ b/src/model/log_world.cpp
@@ -207,6 +207,7 @@
     std::string text = budget;
     for (const std::size_t i : order) text += renamed(texts[i]) + "#";
     std::vector<std::string> sorted;
+    sorted.reserve(letters.size());
     for (const std::string& letter : letters) sorted.push_back(renamed(letter));
     std::sort(sorted.begin(), sorted.end());
     for (const std::string& letter : sorted) text += letter + "/";
--- a/src/peers/types.h
+++ b/src/peers/types.h
@@ -9,10 +9,10 @@
 
 #include <array>
 #include <chrono>
-#include <compare>
 #include <cstddef>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <variant>
 #include <vector>
 
@@ -39,7 +39,10 @@
 struct Endpoint {
   std::uint32_t host = 0;
   std::uint16_t port = 0;
-  auto operator<=>(const Endpoint&) const = default;
+  bool operator==(const Endpoint&) const = default;
+  bool operator<(const Endpoint& other) const {
+    return std::tie(host, port) < std::tie(other.host, other.port);
+  }
   explicit operator bool() const { return port != 0; }
 };
 
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -46,7 +46,7 @@
   return "?";
 }
 
-View::View(Settings settings, Record self, std::uint64_t seed, Time now)
+View::View(Settings settings, const Record& self, std::uint64_t seed, Time now)
     : set_(std::move(settings)),
       random_(seed),
       roster_(self, std::max<std::size_t>(2, set_.most), set_.guards),
@@ -226,11 +226,11 @@
   return news;
 }
 
-void View::Post(const Endpoint& to, InstanceId to_id, Body body, std::vector<News> first) {
+void View::Post(const Endpoint& to, InstanceId to_id, const Body& body, std::vector<News> first) {
   Datagram d;
   d.sender = roster_.own().record;
   d.digest = roster_.digest();
-  d.body = std::move(body);
+  d.body = body;
   d.news = std::move(first);
   if (to_id != kNobody)
     if (auto accusation = Accusation(to_id)) d.news.push_back(std::move(*accusation));
@@ -303,7 +303,7 @@
   }
   const Endpoint to = probe.address;
   const InstanceId target = probe.target;
-  probes_.emplace(number, std::move(probe));
+  probes_.emplace(number, probe);
   Post(to, target, Ping{number, target}, std::move(first));
 }
 
--- a/src/peers/view.h
+++ b/src/peers/view.h
@@ -65,7 +65,7 @@
 
 class View {
  public:
-  View(Settings settings, Record self, std::uint64_t seed, Time now);
+  View(Settings settings, const Record& self, std::uint64_t seed, Time now);
 
   void Step(Time now);
   Time due() const;
@@ -160,7 +160,7 @@
 
   // What is held against a member, so that it can answer.
   std::optional<News> Accusation(InstanceId id) const;
-  void Post(const Endpoint& to, InstanceId to_id, Body body, std::vector<News> first = {});
+  void Post(const Endpoint& to, InstanceId to_id, const Body& body, std::vector<News> first = {});
   std::vector<News> Differing(const Sums& theirs) const;
   void TakeAll(Time now, const Entries& entries);
   void Compare(Time now, const Datagram& d);
--- a/src/standin/rule_fleet.cpp
+++ b/src/standin/rule_fleet.cpp
@@ -106,7 +106,7 @@
     Happening later = h;
     later.at = proxy.held_until;
     later.order = order_++;
-    queue_.push(std::move(later));
+    queue_.push(later);
     return;
   }
   if (h.fetched > 0) {
@@ -124,7 +124,7 @@
     fetched.order = order_++;
     fetched.proxy = h.proxy;
     fetched.fetched = proxy.fetching;
-    queue_.push(std::move(fetched));
+    queue_.push(fetched);
   }
 }
 
--- a/src/subset/subset.cpp
+++ b/src/subset/subset.cpp
@@ -14,9 +14,11 @@
 
 std::vector<EngineId> Ranked(const std::vector<EngineId>& engines, std::uint64_t key) {
   std::vector<std::pair<std::uint64_t, EngineId>> ranks;
+  ranks.reserve(engines.size());
   for (const EngineId id : engines) ranks.emplace_back(Mix(key ^ id), id);
   std::sort(ranks.begin(), ranks.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
   std::vector<EngineId> ranked;
+  ranked.reserve(ranks.size());
   for (const auto& [rank, id] : ranks) ranked.push_back(id);
   return ranked;
 }
