Count a trial's last fault from the end of its last stall

Cause: Rig::Direct overwrote the end of a stall by the time of a later act. No bound was changed. Change: the later of the two counts.

--- a/src/trial/rig.cpp
+++ b/src/trial/rig.cpp
@@ -303,8 +303,9 @@
       broken_.emplace_back(e.what());
     }
     if (action.verb == Verb::kLogged) continue;
-    history_.last_fault = Now();
-    if (action.verb == Verb::kStall) history_.last_fault += action.span;
+    // A stall that an earlier act began may end later than this one.
+    const Span lasts = action.verb == Verb::kStall ? action.span : Span(0);
+    history_.last_fault = std::max(history_.last_fault, Now() + lasts);
   }
   NoteTrouble();
   const Span rest = trial_.period * static_cast<int>(std::max(trial_.settle, 25.0) + 10) + 300ms;
