Let no repeat leave for an engine past the window in which it is discarded

Cause: the module checked a keyed request's window when it decided on a further attempt; Engines::Start then waited up to the connect timeout for a connection and sent the statement whatever the time was. Ruled out: unsafe classes (every broken request was of the keyed class), two attempts out at once, wrong group.

Change: Send carries the last moment at which its statement may leave, from the module; the engines' side keeps it across the connect and the write. An attempt past it ends as never run and blames no engine. A reload that makes a class unsafe calls off repeats that have not left. A keyed attempt that is expected to outlast its window is no longer called off at the window's end, where its work was lost for nothing.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -11,6 +11,7 @@
 
 #include <array>
 #include <cstdint>
+#include <limits>
 #include <memory>
 #include <optional>
 #include <span>
@@ -21,6 +22,7 @@
 namespace lemoncroft {
 
 using Nanos = std::int64_t;  // a point in time or a span of it, in nanoseconds
+inline constexpr Nanos kNoLimit = std::numeric_limits<Nanos>::max();
 using RequestId = std::uint64_t;
 using EngineId = std::uint32_t;
 
@@ -231,7 +233,8 @@
 struct Send {  // start attempt number 0, 1, 2, ... of the request
   RequestId id = 0;
   EngineId engine = 0;
-  Nanos timeout = 0;  // 0 = until the client gives up
+  Nanos timeout = 0;           // 0 = until the client gives up
+  Nanos not_after = kNoLimit;  // point in time past which its statement may not leave for the engine any more
 };
 struct Cancel {
   RequestId id = 0;
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -105,8 +105,9 @@
   const broker::Passed& passed = *attempt.passed;
   if (Now() >= attempt.deadline) co_return Outcome::kMoot;
   for (int broken = 0;;) {
-    const runtime::Time limit = std::min(attempt.deadline, Now() + connect_timeout_);
+    const runtime::Time limit = std::min({attempt.deadline, attempt.not_after, Now() + connect_timeout_});
     const Io up = co_await pool_.Acquire(attempt.engine, limit, &query.cancel, query.lease);
+    if (Now() >= attempt.not_after) co_return Outcome::kMoot;
     // Reset while it came up: that can be this connection's own fate, where a refusal tells of the engine.
     if (up == Io::kClosed && ++broken < kConnects) continue;
     if (up != Io::kOk) co_return ConnectOutcome(up);
@@ -131,7 +132,7 @@
     post.headers.emplace_back("Pool-Rank", std::to_string(attempt.priority));
     post.body = passed.statement;
     const runtime::Time until = query.Limit(kNewsWithin);
-    Io io = co_await query.lease->Send(post, until, &query.cancel);
+    Io io = co_await query.lease->Send(post, std::min(until, attempt.not_after), &query.cancel);
     if (io == Io::kOk) {
       counters_.Tried();
       io = co_await query.lease->Receive(until, &query.cancel, query.response);
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -16,6 +16,7 @@
   const broker::Passed* passed = nullptr;  // outlives the attempt
   EngineId engine = 0;
   runtime::Time deadline{};
+  runtime::Time not_after = runtime::kNever;  // for its statement to leave: past this a repeat does harm
   double grant_mb = 0;
   int priority = 1;
   bool again = false;  // an attempt before it may have run
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -234,6 +234,7 @@
   attempt.passed = &life->request.passed;
   attempt.engine = send.engine;
   attempt.deadline = send.timeout > 0 ? std::min(last, now + ToSpan(send.timeout)) : last;
+  attempt.not_after = host_.ToTime(send.not_after);
   attempt.grant_mb = life->terms.grant_mb;
   attempt.priority = life->terms.priority;
   attempt.again = std::any_of(life->attempts.begin(), std::prev(life->attempts.end()),
--- a/src/broker/module_clock.h
+++ b/src/broker/module_clock.h
@@ -21,7 +21,9 @@
       : offset_(std::chrono::system_clock::now().time_since_epoch() - runtime::Now().time_since_epoch()) {}
 
   Nanos At(runtime::Time time) const { return ToNanos(time.time_since_epoch() + offset_); }
-  runtime::Time ToTime(Nanos at) const { return runtime::Time(ToSpan(at) - offset_); }
+  runtime::Time ToTime(Nanos at) const {
+    return at == kNoLimit ? runtime::kNever : runtime::Time(ToSpan(at) - offset_);
+  }
   static Nanos AtUnix(std::chrono::milliseconds since_epoch) { return ToNanos(since_epoch); }
 
  private:
--- a/src/broker/module_host.h
+++ b/src/broker/module_host.h
@@ -26,6 +26,7 @@
 
   void Post(Event event);
   void Retune(Retuned retuned);
+  runtime::Time ToTime(Nanos at) const { return clock_.ToTime(at); }
   std::vector<EngineId> Avoided() const { return gateway_.Avoided(clock_.At(runtime::Now())); }
   runtime::Task<> Run();
 
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -74,8 +74,7 @@
 constexpr double kRunawayLeast = 2.5;  // times the expected duration, at the least
 constexpr double kRunawayMost = 8;     // and at the most
 constexpr double kRunawayLight = 4;    // for light classes: little is lost with one
-constexpr double kRunawayKeyed =
-    4;  // at the least for keyed ones: much is, and loads stand in each other's way
+constexpr double kRunawayKeyed = 4;    // at the least for keyed ones: much is, and loads block each other
 constexpr double kRunawayNoted = 5;     // times the expected duration, as its notes project
 constexpr double kRunawaySpread = 2.5;  // deviations (of log work) that an honest attempt may stray
 constexpr int kKills = 2;               // cancels of one request: then it is held to be heavy itself
@@ -246,6 +245,9 @@
       for (const auto& [work, id] : group)
         if (queries_.at(id).sent >= std::max(1, set_.max_attempts)) spent.push_back(id);
     for (RequestId id : spent) Answer(queries_.at(id));
+    for (const auto& [id, e] : engines_)  // further attempts that may not have left yet
+      for (RequestId run : e.runs)
+        if (Query& q = queries_.at(run); !RepeatSafe(q)) CallOff(q);
   }
 
   void On(const Beside& beside) { beside_ = std::max(1, beside.parts); }
@@ -527,10 +529,12 @@
     return static_cast<double>(further_.size()) + 1 <= allowed;
   }
 
-  bool RepeatSafe(const Query& q) const {
-    const ClassSettings& c = Class(q);
-    if (q.maybe_ran_at < 0 || c.effect == Effect::kSafe) return true;
-    return c.effect == Effect::kKeyed && now_ <= q.maybe_ran_at + c.repeat_window - kAnswerMargin;
+  bool RepeatSafe(const Query& q) const { return now_ <= RepeatUntil(q); }
+
+  // Until when a further attempt may leave for an engine: a keyed one has to come within its window.
+  Nanos RepeatUntil(const Query& q) const {
+    if (q.maybe_ran_at < 0 || Class(q).effect == Effect::kSafe) return kNoLimit;
+    return Class(q).effect == Effect::kKeyed ? q.maybe_ran_at + Class(q).repeat_window - kAnswerMargin : -1;
   }
 
   bool Allowed(const Query& q, const Engine& e) const {
@@ -728,7 +732,7 @@
     q.grant = set_.grants_heeded && e.memory > 0 ? std::min(need, set_.max_grant_share * e.memory) : 0;
     const int priority = !set_.priorities_heeded ? 1 : q.late ? 0 : Light(q) ? 3 : 2;
     if (q.grant > 0 || priority != 1) out_->push_back(Terms{q.in.id, priority, q.grant});
-    out_->push_back(Send{q.in.id, e.entry.engine, 0});
+    out_->push_back(Send{q.in.id, e.entry.engine, 0, RepeatUntil(q)});
     if (q.sent > 0) further_.push_back(now_);
     ++q.sent;
     q.out = true;
@@ -769,7 +773,8 @@
     const auto e = engines_.find(q.engine);  // a cold one has a pace of its own
     const bool known = Stats(q).answers >= kFewAnswers && e != engines_.end() && !Cold(e->second);
     const double keyed = known ? std::max(times, kRunawayKeyed) : HUGE_VAL;
-    return std::min(ToNanos(ExpectedSeconds(q) * keyed), LastRepeat(q) - q.sent_at);
+    const Nanos last = LastRepeat(q) - q.sent_at;  // what is expected to last longer isn't called off there
+    return ToNanos(ExpectedSeconds(q)) > last ? 0 : std::min(ToNanos(ExpectedSeconds(q) * keyed), last);
   }
 
   // A keyed attempt may be called off only while its repeat is still discarded and its key's rest counted.
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -24,6 +24,7 @@
     EngineId engine;
     int attempt;
     Nanos at;
+    Nanos not_after;
   };
 
   void Step(std::vector<Event> events) {
@@ -31,7 +32,7 @@
     gateway_.Step(now, events, actions);
     for (const Action& a : actions) {
       if (auto* s = std::get_if<Send>(&a)) {
-        sends.push_back({s->id, s->engine, attempts_[s->id]++, now});
+        sends.push_back({s->id, s->engine, attempts_[s->id]++, now, s->not_after});
         engine_of[s->id] = s->engine;
       } else if (auto* r = std::get_if<Refuse>(&a)) {
         refused[r->id] = now;
@@ -868,6 +869,69 @@
   EXPECT_LE(host.sends.back().at, start + s.classes[0].repeat_window);
 }
 
+// A connection that comes up late must not carry a repeat past the window in which engines discard it.
+TEST(Rule2, AKeyedRepeatLeavesWithinItsWindowCountedFromTheFirstSend) {
+  Settings s = SomeSettings();
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].repeat_window = kSecond;
+  Host host(s);
+  host.List({Ready(1), Ready(2)});
+  const Nanos start = host.now;
+  host.Step({Ask(1)});
+  EXPECT_EQ(host.sends.back().not_after, kNoLimit) << "nothing has run yet";
+  host.now += 200 * kMs;
+  host.End(1, Outcome::kReset);
+  ASSERT_EQ(host.Attempts(1), 2);
+  EXPECT_GT(host.sends.back().not_after, host.now);
+  EXPECT_LT(host.sends.back().not_after, start + kSecond);
+  const Nanos first = host.sends.back().not_after;
+  host.now += 200 * kMs;
+  host.End(1, Outcome::kMoot);  // an attempt that never left starts no window of its own
+  ASSERT_EQ(host.Attempts(1), 3);
+  EXPECT_EQ(host.sends.back().not_after, first);
+}
+
+TEST(Rule2, ASafeRepeatMayLeaveAtAnyTime) {
+  Host host(SomeSettings());
+  host.List({Ready(1), Ready(2)});
+  host.Step({Ask(1)});
+  host.End(1, Outcome::kReset);
+  ASSERT_EQ(host.Attempts(1), 2);
+  EXPECT_EQ(host.sends.back().not_after, kNoLimit);
+}
+
+// A load that should take longer than its window is no runaway at the window's end.
+TEST(Rule2, AKeyedAttemptExpectedToOutlastItsWindowIsLeftToRun) {
+  Settings s = SomeSettings();
+  s.classes[0].effect = Effect::kKeyed;
+  s.classes[0].repeat_window = kSecond;
+  s.classes[0].deadline = 20 * kSecond;
+  s.classes[0].aim = 10 * kSecond;
+  Host host(s);
+  host.List({Ready(1), Ready(2)});
+  host.Step({Ask(1, 0, 20 * kSecond, 5 * kSecond)});
+  host.RunUntil(host.now + 4 * kSecond);
+  EXPECT_FALSE(host.cancels.contains(1));
+}
+
+// The repeat may still wait for its connection when its class turns unsafe.
+TEST(Retune, ARepeatThatIsNoLongerAllowedIsCalledOff) {
+  Settings before = SomeSettings();
+  Host host(before);
+  host.List({Ready(1), Ready(2)});
+  host.Step({Ask(1)});
+  host.Step({Ask(2)});
+  host.End(1, Outcome::kReset);
+  ASSERT_EQ(host.Attempts(1), 2);
+  Settings after = before;
+  after.classes[0].effect = Effect::kUnsafe;
+  host.Step({Retuned{std::make_shared<const Settings>(after), {0}}});
+  EXPECT_TRUE(host.cancels.contains(1));
+  EXPECT_FALSE(host.cancels.contains(2)) << "a first attempt is no repeat";
+  host.End(1, Outcome::kMoot);
+  EXPECT_TRUE(host.failed.contains(1)) << "the attempt before may have run";
+}
+
 // Found by a hunt (hd39902): full answers were tried again at once, 22,000 in five seconds, and each was work
 // for a cold engine.
 TEST(Health, AnEngineThatSaidFullRests) {
