--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -71,10 +71,10 @@
 constexpr double kColdSafety = 0.75;   // of the allowed budget: slow cores, bad estimates
 constexpr double kColdDeviations = 3;  // of chance arrivals from all gateways that the budget has room for
 // Runaway attempts.
-constexpr double kRunawayLeast = 2.5;  // times the expected duration, at the least
-constexpr double kRunawayMost = 8;     // and at the most
-constexpr double kRunawayLight = 4;    // for light classes: little is lost with one
-constexpr double kRunawayKeyed = 4;    // at the least for keyed ones: much is, and loads block each other
+constexpr double kRunawayLeast = 2.5;   // times the expected duration, at the least
+constexpr double kRunawayMost = 8;      // and at the most
+constexpr double kRunawayLight = 4;     // for light classes: little is lost with one
+constexpr double kRunawayKeyed = 4;     // at the least for keyed ones: much is, and loads block each other
 constexpr double kRunawayNoted = 5;     // times the expected duration, as its notes project
 constexpr double kRunawaySpread = 2.5;  // deviations (of log work) that an honest attempt may stray
 constexpr int kKills = 2;               // cancels of one request: then it is held to be heavy itself
