Shut a client's connection before it is closed, and read on until its client ends it

Cause, confirmed by tests: (1) after a frame that can't be read, Serve waited for its open requests without reading, so a client that left was not seen and its requests ran on; (2) every close (rejected, making room, end of the process) went straight to close(2): over unread bytes that is a reset, and a request in the receive buffer was lost; (3) flushed() counted a connection marked closed as flushed while bytes waited in it. Ruled out: two SIGTERMs, and a SIGHUP between them, end the process once (new test, passes before the change too).

Change: Serve is the one place where a client's connection ends. What can't be read is dropped, so that the client's end is seen; answers go out; then a lingering close (src/runtime/lingering_close, which operators' connections use too): our side is shut, and the client's bytes are read until its end, for 500 ms and 4 MB at most. A resting connection is shut in the same breath as the look that nothing unread is there. Room is made a sixteenth ahead, since what is shut lingers; lingering connections count against the limit and are cut first, after 50 ms.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -41,6 +41,7 @@
 // Where another process takes its place, SIGKILL comes when the longest deadline, or this if that is longer,
 // has passed since then. An answer that says so, some time before it, is better than none.
 constexpr auto kOutlives = 5000ms, kLastAnswers = 200ms;
+constexpr auto kShutFor = 200ms;     // for clients to end connections that are shut
 constexpr auto kGiveUpFor = 100ms;   // for attempts that nobody waits for to be called off
 constexpr auto kFeedFirst = 1000ms;  // for the control feed to answer a process that takes another's place
 constexpr auto kStartBeat = 5ms;
@@ -273,7 +274,11 @@
     if (broker.open() > 0) spdlog::info("ending: {} requests can't be waited for", broker.open());
     broker.AnswerAll();
   }
-  while (broker.open() > 0 || !server.flushed()) co_await loop.Sleep(kDrainBeat);
+  for (; broker.open() > 0 || !server.flushed(); co_await loop.Sleep(kDrainBeat)) server.CloseResting();
+  // A process that ended now would reset the connections on which something has come meanwhile.
+  const Time shut_by = Now() + kShutFor;
+  for (; server.connections() > 0 && (Now() < shut_by || !server.flushed()); co_await loop.Sleep(kDrainBeat))
+    server.CloseResting();
   // Engines are still being told of what was given up: else it would run on for nobody.
   const Time last = Now() + kGiveUpFor;
   while (!broker.idle() && Now() < last) co_await loop.Sleep(kDrainBeat);
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -7,8 +7,10 @@
 #include <charconv>
 #include <cmath>
 #include <optional>
+#include <utility>
 
 #include "codec/statement.h"
+#include "runtime/lingering_close.h"
 
 namespace lemoncroft::frontend {
 
@@ -31,6 +33,8 @@
 constexpr auto kNewFor = 30ms;  // too new to be called silent where descriptors are short
 constexpr auto kRoomWithin = 500ms, kRoomPause = 10ms;  // of a newcomer that finds all connections busy
 constexpr auto kTellEvery = 10s;                        // in the log, at the most
+constexpr auto kLinger = 500ms;                         // for a client's own end, once its connection is shut
+constexpr auto kLingerLeast = 50ms;  // likewise where descriptors are short: a round trip and more
 // One that goes on sending what can't be used is read this much more slowly, so that others are not.
 constexpr int kErrorsFree = 8;
 constexpr auto kErrorPause = 25ms;
@@ -73,15 +77,23 @@
   runtime::Time opened = Now(), active = Now();
   runtime::Time half_since = runtime::kNever;  // a frame has begun and not come whole
   bool asked = false;                          // properly, at least once
-  bool eof = false;                            // the client has ended it, or a broken connection did
-  int errors = 0;                              // frames that could not be used
-  std::string out;                             // not yet handed to the writer
+  bool gone = false;                           // the client has ended it: nobody waits for answers
+  bool broken = false;                         // nothing can be written any more
+  bool unreadable = false;                     // what follows can't be told apart
+  bool shut = false;                           // our end of it is over: nothing is taken, nor written
+  runtime::Time shut_at{};
+  int errors = 0;   // frames that could not be used
+  std::string out;  // not yet handed to the writer
   bool writing = false;
-  bool closed = false;
+  bool closed = false;  // nothing more is appended
   bool end_announced = false;
   std::unordered_map<std::uint32_t, RequestId> streams;  // requests that are owed an answer
-  runtime::Gate written, drained;
+  runtime::Gate appended, flushed;
   runtime::Cancellation stop_reading;
+  runtime::Cancellation answered;  // nothing is owed on a connection that can't be read any more
+  runtime::Cancellation cut;       // its lingering
+
+  bool rests() const { return streams.empty() && out.empty() && !writing; }
 };
 
 // Where the answer to one stream's request goes; the connection may end before it.
@@ -105,7 +117,7 @@
                               : answer.verdict == broker::Verdict::kRefused ? codec::kRefusedCode
                                                                             : codec::kFailedCode;
     server_.Append(*connection, codec::kAnswerFrame, stream_, code, fields, answer.rows);
-    if (connection->streams.empty()) connection->drained.Open();
+    if (connection->streams.empty() && connection->unreadable) connection->answered.Cancel();
   }
 
   void Foretell(const broker::Foretold& foretold) override {
@@ -156,12 +168,15 @@
     }
     // Those who came first are heard first: a flood of newcomers must not hold up, or push out, who asks.
     if (accepted % kAcceptsATurn == 0) co_await loop_.NextTurn();
-    // Past the limit the engines' share of descriptors would shrink. A newcomer waits a while for room.
+    // Past the limit the engines' share of descriptors would shrink. Room is made a little ahead, since what
+    // is shut lingers; a newcomer that finds none waits a while for it.
     const runtime::Time until = Now() + kRoomWithin;
-    while (!HasRoom() && !MakeRoom() && Now() < until && !stop_accepting_.cancelled()) {
-      co_await loop_.Sleep(kRoomPause, &stop_accepting_);
+    if (connections() + Reserve() >= limits_.connections) MakeRoom();
+    while (!HasRoom() && Now() < until && !stop_accepting_.cancelled()) {
+      co_await runtime::Waiter(loop_, &room_, std::min(until, Now() + kRoomPause), &stop_accepting_);
+      if (!HasRoom()) MakeRoom();
     }
-    if (!HasRoom() && Now() >= until) {
+    if (!HasRoom()) {
       TellTurnedAway();
       continue;
     }
@@ -175,26 +190,50 @@
 
 bool FrameServer::HasRoom() { return connections() < limits_.connections; }
 
+std::size_t FrameServer::Reserve() const { return limits_.connections / 16; }
+
 std::size_t FrameServer::connections() {
   std::erase_if(connections_, [](const auto& weak) { return weak.expired(); });
   return connections_.size();
 }
 
-// The oldest of those that never asked properly goes first, then the one that has been idle longest, however
-// short that is: clients that open a connection for every request leave hundreds behind. Where nothing is
-// open a proxy may close.
-bool FrameServer::MakeRoom() {
+// First one that only lingers. Then the oldest of those that never asked properly, then the one that has been
+// idle longest, however short that is: clients that open a connection for every request leave hundreds
+// behind. Where nothing is open a proxy may close.
+void FrameServer::MakeRoom() {
   const runtime::Time now = Now();
-  ConnectionPtr silent, idle;
+  ConnectionPtr lingers, silent, idle;
+  std::size_t going = 0;
+  for (const auto& weak : connections_) {
+    const ConnectionPtr c = weak.lock();
+    if (!c) continue;
+    going += c->shut;
+    if (c->shut && !c->cut.cancelled() && now - c->shut_at > kLingerLeast && !lingers) lingers = c;
+    if (c->closed || c->stop_reading.cancelled() || !c->rests()) continue;
+    const bool first = c->asked ? c->in.empty() && (!idle || c->active < idle->active)
+                                : now - c->opened > kNewFor && !silent;
+    if (first && c->socket->Quiet()) (c->asked ? idle : silent) = c;
+  }
+  if (lingers) return lingers->cut.Cancel();
+  if (going < std::max<std::size_t>(1, Reserve()) && (!silent || !Shut(*silent)) && idle) Shut(*idle);
+}
+
+// In the same breath as the look for unread bytes: what comes later has crossed the shutdown on its way, and
+// its client sends it again.
+bool FrameServer::Shut(Connection& c) {
+  if (c.closed || !c.rests() || !c.socket->Quiet()) return false;
+  c.socket->EndWriting();
+  c.shut = c.closed = true;
+  c.shut_at = Now();
+  c.stop_reading.Cancel();
+  return true;
+}
+
+void FrameServer::CloseResting() {
   for (const auto& weak : connections_) {
     const ConnectionPtr c = weak.lock();
-    if (!c || c->closed || c->stop_reading.cancelled() || !c->streams.empty()) continue;
-    if (!c->asked && now - c->opened > kNewFor && !silent) silent = c;
-    if (c->asked && (!idle || c->active < idle->active)) idle = c;
+    if (c && c->in.empty()) Shut(*c);  // half a frame is waited for: its client may believe it taken
   }
-  const ConnectionPtr& least = silent ? silent : idle;
-  if (least) least->stop_reading.Cancel();
-  return least != nullptr;
 }
 
 void FrameServer::TellTurnedAway() {
@@ -205,19 +244,43 @@
   told_turned_away_ = Now();
 }
 
+// The one place where a client's connection ends.
 Task<> FrameServer::Serve(ConnectionPtr connection) {
   Connection& c = *connection;
   loop_.Spawn(WriteOut(connection));
   co_await ReadIn(connection);
-  // Nothing more can be read. What was taken before is still answered, unless nobody is there to hear it.
-  while (!c.eof && !c.streams.empty() && !c.stop_reading.cancelled()) {
-    co_await runtime::Waiter(loop_, &c.drained, runtime::kNever, &c.stop_reading);
-  }
+  // Nothing more can be taken. What was taken before is still answered, unless nobody is there to hear it.
+  if (!c.gone && !c.broken && !c.streams.empty()) co_await DropRest(connection);
   Abandon(c);
   c.in = std::string();
   Count(c);
   c.closed = true;
-  c.written.Open();
+  c.appended.Open();
+  while (!c.broken && (!c.out.empty() || c.writing)) {  // the writer gives up where nothing is taken
+    co_await runtime::Waiter(loop_, &c.flushed, runtime::kNever);
+  }
+  if (!c.gone && !c.broken) {
+    if (!std::exchange(c.shut, true)) c.shut_at = Now();
+    co_await runtime::LingeringClose(loop_, *c.socket, kLinger, &c.cut);
+  }
+  room_.Open();
+}
+
+Task<> FrameServer::DropRest(ConnectionPtr connection) {
+  Connection& c = *connection;
+  c.unreadable = true;
+  std::string dropped;
+  for (std::size_t bytes = 0; !c.answered.cancelled(); bytes += dropped.size()) {
+    dropped.clear();
+    const Io io = co_await c.socket->Read(dropped, kReadAtOnce, runtime::kNever, &c.answered);
+    c.gone = io == Io::kClosed;
+    if (io != Io::kOk) co_return;
+    if (bytes < runtime::kLingerBytes) {
+      co_await loop_.NextTurn();
+    } else {
+      co_await loop_.Sleep(kErrorPause, &c.answered);  // a flood for nothing
+    }
+  }
 }
 
 Task<> FrameServer::ReadIn(ConnectionPtr connection) {
@@ -227,8 +290,9 @@
     const runtime::Time half = c.half_since == runtime::kNever ? c.half_since : c.half_since + kFrameWithin;
     const Io io = co_await c.socket->Read(c.in, kReadAtOnce, std::min(silent, half), &c.stop_reading);
     if (io == Io::kTimeout) co_return Reject(c, 0, "no whole request in time");
-    c.eof = io != Io::kOk;
-    if (c.eof) co_return;
+    if (io == Io::kCancelled) co_return;
+    c.gone = io != Io::kOk;
+    if (c.gone) co_return;
     const int errors = c.errors;
     const std::size_t before = c.in.size();
     if (!TakeFrames(connection)) co_return;
@@ -254,9 +318,9 @@
 // Writes what has been appended, all that came within a round of the loop at once.
 Task<> FrameServer::WriteOut(ConnectionPtr connection) {
   Connection& c = *connection;
-  while (!c.out.empty() || !c.closed) {
+  while (!c.broken && (!c.out.empty() || !c.closed)) {
     if (c.out.empty()) {
-      co_await runtime::Waiter(loop_, &c.written, runtime::kNever);
+      co_await runtime::Waiter(loop_, &c.appended, runtime::kNever);
       continue;
     }
     std::string bytes;
@@ -267,12 +331,21 @@
     const Io io = co_await c.socket->Write(bytes, written, Now() + kStalled);
     unread_ -= bytes.size();
     c.writing = false;
-    if (io == Io::kOk) continue;
-    c.stop_reading.Cancel();
-    co_return;
+    if (io != Io::kOk) CutOff(c);
+    c.flushed.Open();
   }
 }
 
+// Nobody takes what is written: nothing more is, and what was asked for is given up.
+void FrameServer::CutOff(Connection& c) {
+  c.broken = true;
+  c.out.clear();
+  c.stop_reading.Cancel();
+  c.answered.Cancel();
+  c.appended.Open();
+  c.flushed.Open();
+}
+
 void FrameServer::Reject(Connection& c, std::uint32_t stream, std::string_view why) {
   ++c.errors;
   Append(c, codec::kAnswerFrame, stream, codec::kFailedCode, {}, why);
@@ -280,11 +353,11 @@
 
 void FrameServer::Append(Connection& c, std::uint8_t type, std::uint32_t stream, std::uint8_t code,
                          const codec::FieldViews& fields, std::string_view body) {
+  if (c.broken || c.shut) return;
   codec::WriteAnswer(c.out, type, stream, code, fields, body);
+  c.appended.Open();
   // A client that leaves its answers unread is cut off, before all of them together are too much.
-  if (c.out.size() > limits_.unread || c.out.size() + unread_ > limits_.unread_by_all)
-    c.stop_reading.Cancel();
-  c.written.Open();
+  if (c.out.size() > limits_.unread || c.out.size() + unread_ > limits_.unread_by_all) CutOff(c);
 }
 
 void FrameServer::Abandon(Connection& c) {
@@ -394,10 +467,10 @@
   ending_ = true;
   for (const auto& weak : connections_) {
     const ConnectionPtr connection = weak.lock();
-    if (!connection || connection->closed || connection->end_announced) continue;
+    if (!connection || connection->closed || connection->broken || connection->end_announced) continue;
     connection->end_announced = true;
     codec::WriteFrame(connection->out, codec::kDrainFrame, 0);
-    connection->written.Open();
+    connection->appended.Open();
   }
 }
 
@@ -409,7 +482,7 @@
 bool FrameServer::flushed() const {
   return std::all_of(connections_.begin(), connections_.end(), [](const auto& weak) {
     const ConnectionPtr c = weak.lock();
-    return !c || c->closed || (c->out.empty() && !c->writing);
+    return !c || (c->out.empty() && !c->writing);
   });
 }
 
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -43,6 +43,9 @@
   void set_connections(std::size_t most) { limits_.connections = most; }
   std::size_t connections();  // open now
   bool flushed() const;       // every answer has been handed to the kernel
+  // Shuts all connections on which nothing is open and nothing has come that was not read. To be called again
+  // until there are none.
+  void CloseResting();
 
  private:
   struct Connection;
@@ -52,9 +55,14 @@
   runtime::Task<> AcceptAll();
   bool HasRoom();
   void TellTurnedAway();
-  bool MakeRoom();  // for one more connection, by closing one that is worth less; false: there is none
+  std::size_t Reserve() const;  // connections that may be on their way out ahead of need
+  void MakeRoom();              // for one more connection, by shutting one that is worth less
+  // Shuts a connection that owes no answer and is owed none; false: it is not at rest.
+  bool Shut(Connection& connection);
   runtime::Task<> Serve(ConnectionPtr connection);
-  runtime::Task<> ReadIn(ConnectionPtr connection);  // until nothing more is to be read
+  runtime::Task<> ReadIn(ConnectionPtr connection);  // until nothing more is to be taken
+  // What can't be read any more is dropped, so that the client's leaving is seen while it is owed answers.
+  runtime::Task<> DropRest(ConnectionPtr connection);
   runtime::Task<> WriteOut(ConnectionPtr connection);
   bool TakeFrames(const ConnectionPtr& connection);  // false: what follows can't be read
   void TakeFrame(const ConnectionPtr& connection, const codec::Frame& frame);
@@ -68,6 +76,7 @@
   // A request that ends here, before the broker has heard of it.
   void CountEnd(std::string_view klass, telemetry::End how);
   void Abandon(Connection& connection);
+  void CutOff(Connection& connection);
   bool Count(Connection& connection);  // its half frame in the total; false: that is too much
 
   runtime::Loop& loop_;
@@ -77,6 +86,7 @@
   Limits limits_;
   std::unique_ptr<runtime::Listener> listener_;
   runtime::Cancellation stop_accepting_;
+  runtime::Gate room_;
   std::list<std::weak_ptr<Connection>> connections_;  // by age
   std::size_t unread_ = 0;                            // bytes handed to the writers and not yet to the kernel
   std::size_t unparsed_ = 0;
--- a/src/management/listener.cpp
+++ b/src/management/listener.cpp
@@ -4,6 +4,8 @@
 
 #include <variant>
 
+#include "runtime/lingering_close.h"
+
 namespace lemoncroft::management {
 
 using runtime::Io;
@@ -59,16 +61,7 @@
   const Reply reply = co_await Hear(*caller);
   std::size_t written = 0;
   const Io io = co_await caller->socket->Write(Text(reply), written, Now() + kTakenWithin);
-  // What the caller sent beyond its line is read first: a close over unread bytes is a reset, which may
-  // overtake the answer.
-  caller->socket->EndWriting();
-  std::string rest;
-  const auto until = Now() + kTakenWithin;
-  for (int reads = 0; io == Io::kOk && reads < 256 && !caller->cut.cancelled(); ++reads) {
-    rest.clear();
-    if (co_await caller->socket->Read(rest, kReadAtOnce, until, &caller->cut) != Io::kOk) break;
-    co_await loop_.NextTurn();
-  }
+  if (io == Io::kOk) co_await runtime::LingeringClose(loop_, *caller->socket, kTakenWithin, &caller->cut);
   callers_.remove(caller);
 }
 
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -10,6 +10,7 @@
 #include <unistd.h>
 
 #include <algorithm>
+#include <cerrno>
 #include <chrono>
 #include <cstdlib>
 #include <fstream>
@@ -28,7 +29,8 @@
 using runtime::Descriptor;
 using namespace std::chrono_literals;
 
-constexpr auto kPatience = 4000ms;  // for what is expected to come
+constexpr auto kPatience = 4000ms;    // for what is expected to come
+constexpr auto kResetWithin = 100ms;  // of an end that is no clean one
 
 [[noreturn]] void Wrong(const std::string& what) { throw std::runtime_error(what); }
 
@@ -122,19 +124,21 @@
 std::size_t piece_size = 0;
 constexpr auto kPiecePause = 300us;
 
-void SendAll(int fd, const std::string& bytes) {
+bool SendAll(int fd, const std::string& bytes) {
   for (std::size_t at = 0; at < bytes.size();) {
     const std::size_t left = bytes.size() - at, size = piece_size > 0 ? std::min(left, piece_size) : left;
     const ssize_t n = ::send(fd, bytes.data() + at, size, MSG_NOSIGNAL);
-    if (n <= 0) return;  // the peer has closed: what comes back tells
+    if (n <= 0) return false;  // the peer has closed: what comes back tells
     at += static_cast<std::size_t>(n);
     if (piece_size > 0) std::this_thread::sleep_for(kPiecePause);
   }
+  return true;
 }
 
 // Appends what has come on a descriptor that poll has named; false at its end.
 bool ReadSome(int fd, std::string& into) {
   char bytes[65536];
+  errno = 0;
   const ssize_t n = ::recv(fd, bytes, sizeof bytes, 0);
   if (n > 0) into.append(bytes, static_cast<std::size_t>(n));
   return n > 0;
@@ -153,7 +157,10 @@
   }
 
   void Send(const Words& words) {
-    if (words[2] == "bytes") return SendAll(fd_.get(), words[3]);
+    if (words[2] == "bytes") return void(SendAll(fd_.get(), words[3]));
+    // A reset is told to whoever sends or reads first.
+    if (words[2] == "junk")
+      return void(reset_ = !SendAll(fd_.get(), std::string(std::stoul(words[3]), '\xff')));
     if (words[2] == "flood") {
       const auto span = std::chrono::milliseconds(std::stoi(words[3]));
       if (words.size() == 4) return Flood(span);
@@ -169,14 +176,14 @@
     if (words[2] == "half") {
       codec::WriteFrame(out, codec::kRequestFrame, 1, std::string(std::stoul(words[3]), 'x'));
       out.pop_back();
-      return SendAll(fd_.get(), out);
+      return void(SendAll(fd_.get(), out));
     }
     const auto stream = static_cast<std::uint32_t>(std::stoul(words[3]));
     if (words[2] != "request") {
       const bool ready = words[2] == "ready";
       codec::WriteFrame(out, ready ? codec::kReadyAskFrame : codec::kCancelFrame, stream,
                         ready ? std::string_view("\0", 1) : std::string_view());
-      return SendAll(fd_.get(), out);
+      return void(SendAll(fd_.get(), out));
     }
     Named named(words, 4);
     std::map<std::string, std::string> fields = {
@@ -201,6 +208,19 @@
       if (!ended_) Wrong("the connection was not closed");
       return;
     }
+    if (words[2] == "end") {  // a clean one: what was sent before it has come whole
+      codec::Frame after;
+      if (Next(after, kPatience)) Wrong("a frame came where the end was expected");
+      if (!ended_) Wrong("the connection has not ended");
+      // A reset behind the end shows as an error of the socket alone.
+      pollfd p{fd_.get(), 0, 0};
+      ::poll(&p, 1, static_cast<int>(kResetWithin.count()));
+      int error = 0;
+      socklen_t size = sizeof error;
+      ::getsockopt(fd_.get(), SOL_SOCKET, SO_ERROR, &error, &size);
+      if (reset_ || error != 0 || (p.revents & POLLERR) != 0) Wrong("the connection was reset");
+      return;
+    }
     codec::Frame frame;
     if (words[2] == "nothing") {
       if (Next(frame, std::chrono::milliseconds(std::stoi(words[3])))) Wrong("an unexpected frame");
@@ -240,6 +260,7 @@
       pollfd p{fd_.get(), POLLIN, 0};
       if (ended_ || ::poll(&p, 1, Left(until)) <= 0) return false;
       ended_ = !ReadSome(fd_.get(), in_);
+      reset_ = reset_ || (ended_ && errno == ECONNRESET);
     }
     return true;
   }
@@ -266,7 +287,7 @@
   Descriptor fd_;
   codec::FrameReader reader_;
   std::string in_;
-  bool ended_ = false;
+  bool ended_ = false, reset_ = false;
   std::jthread beside_;  // last: it uses the others
 };
 
@@ -279,8 +300,8 @@
   }
   // `bytes TEXT`, `bytewise TEXT` with a pause behind each byte, or `flood SIZE`, which has no line feed.
   void Send(const Words& words) {
-    if (words[2] == "flood") return SendAll(fd_.get(), std::string(std::stoul(words.at(3)), 'x'));
-    if (words[2] == "bytes") return SendAll(fd_.get(), words.at(3));
+    if (words[2] == "flood") return void(SendAll(fd_.get(), std::string(std::stoul(words.at(3)), 'x')));
+    if (words[2] == "bytes") return void(SendAll(fd_.get(), words.at(3)));
     for (const char c : words.at(3)) {
       SendAll(fd_.get(), std::string(1, c));
       std::this_thread::sleep_for(2ms);
@@ -311,11 +332,16 @@
         Wrong("an unexpected " + words[3]);
       return;
     }
-    const auto call = Await(words[2], words.size() > 3 ? words[3] : "", kPatience);
+    Named named(words, 4);
+    auto patience = kPatience;
+    std::erase_if(named.values, [&](const auto& value) {
+      if (value.first == "within") patience = std::chrono::milliseconds(std::stoi(value.second));
+      return value.first == "within";
+    });
+    const auto call = Await(words[2], words.size() > 3 ? words[3] : "", patience);
     if (!call) Wrong("no such call; there are: " + Waiting());
     last_ = call->connection;
     const std::size_t end = call->text.find("\r\n\r\n");
-    Named named(words, 4);
     for (const auto& [name, value] : named.values) {
       const std::size_t at = call->text.find("\r\n" + name + ": ");
       const std::size_t from = at + name.size() + 4;
@@ -326,7 +352,7 @@
   }
 
   void Send(const Words& words) {
-    if (words[2] == "raw") return SendAll(connections_.at(last_).fd.get(), words.at(3));
+    if (words[2] == "raw") return void(SendAll(connections_.at(last_).fd.get(), words.at(3)));
     Named named(words, 3);
     std::string out = "HTTP/1.1 " + words[2] + " X\r\n";
     for (const auto& [name, value] : named.values) out += name + ": " + value + "\r\n";
