End an attempt that crosses its client's leaving: the module held it for running for ever

Cause, found by reading Broker::Live and forced by a test: when a client's leaving lay in a request's inbox and the module stepped in the same turn, its Send came behind it and was dropped with the request. Nobody told the module of that attempt's end, so it counted as running, and as overdue, on its engine for the rest of the process's life. Ruled out: an attempt that is sent after the client left (Live handles the leaving before the attempt's task runs).

Change: what is left in the inbox is read to its end; an attempt among it ends unsent, as never made.

--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -143,7 +143,7 @@
                            StartAttempt(life, send);
                            return false;
                          }
-                         EndUnsent(*life, send);
+                         EndUnsent(*life, send, false);
                          Finish(lane, *life->sink, {Verdict::kRefused, ComeBackMost(), {}});
                          host_.Post(ClientGone{life->id});
                          return true;
@@ -203,9 +203,11 @@
   const auto out = [&] {
     return std::any_of(life->attempts.begin(), life->attempts.end(), [](const auto& a) { return a->out; });
   };
-  while (out()) {
+  // Among what is left may be an attempt that the module decided on before it heard of the end.
+  while (out() || !life->inbox.empty()) {
     const News news = co_await Next(*life, runtime::kNever);
     if (const auto* ended = std::get_if<Ended>(&news)) TellEnded(*life, *ended, true);
+    if (const auto* send = std::get_if<Send>(&news)) EndUnsent(*life, *send, true);
   }
   ids_.erase(life->request.passed.id);
   lives_.erase(life->id);
@@ -251,7 +253,7 @@
 }
 
 // An attempt that the module counts and that was never made.
-void Broker::EndUnsent(Life& life, const Send& send) {
+void Broker::EndUnsent(Life& life, const Send& send, bool finished) {
   auto running = std::make_unique<Running>();
   running->engine = send.engine;
   running->started = Now();
@@ -261,7 +263,7 @@
   if (line_) line_->Sent(life.id, number, life.terms.priority);
   Ended ended{number, {}};
   ended.result.outcome = Outcome::kMoot;
-  TellEnded(life, ended, false);
+  TellEnded(life, ended, finished);
 }
 
 Span Broker::ComeBackMost() const {
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -104,7 +104,7 @@
   runtime::Task<News> Next(Life& life, runtime::Time guard);
   void StartAttempt(const LifePtr& life, const Send& send);
   bool Forbidden(const Life& life, const Send& send) const;
-  void EndUnsent(Life& life, const Send& send);
+  void EndUnsent(Life& life, const Send& send, bool finished);
   runtime::Span ComeBackMost() const;
   runtime::Task<> RunAttempt(LifePtr life, int number, backend::Attempt attempt);
   void ApplyTerms(Life& life, const Terms& terms);
