Keep a fleet's sum within a cold engine's budget where gateways go beyond their subsets

Change: those whose subsets hold an engine share 0.8 of its budget by traffic, all others the rest; without subsets nothing changes. A process that has just started has nothing to spend at first: the one before it may have.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -192,7 +192,7 @@
   void Step(Nanos now, std::span<const Event> events, std::vector<Action>& actions) {
     const bool first = now_ < 0;
     const double passed = first ? 0 : Seconds(std::max<Nanos>(0, now - now_));
-    now_ = std::max(now_, now);
+    now_ = std::max(now_, now), born_ = first ? now : born_;
     out_ = &actions;
     Earn(passed);
     if (first && set_.list_on_request) out_->push_back(WatchList{true});
@@ -264,10 +264,9 @@
   }
 
   void On(const Closing&) {
-    std::vector<RequestId> open;
+    std::set<RequestId> open;  // the map has no order of its own
     for (const auto& [id, q] : queries_)
-      if (q.where != Where::kDone) open.push_back(id);
-    std::sort(open.begin(), open.end());  // the map has no order of its own
+      if (q.where != Where::kDone) open.insert(id);
     for (RequestId id : open) Answer(queries_.at(id));
   }
 
@@ -292,8 +291,9 @@
       if (e.listed && e.entry.readiness == Readiness::kReady) ready.push_back(id);
     }
     sharers_ = subset::Sharers(ready.size(), set_.gateways);
-    for (EngineId id : (siblings_ ? subset::ByPlace : subset::ByNumber)(ready, set_.gateways, set_.self))
-      engines_.at(id).near = true;
+    const auto near = (siblings_ ? subset::ByPlace : subset::ByNumber)(ready, set_.gateways, set_.self);
+    for (EngineId id : near) engines_.at(id).near = true;
+    near_ = ready.empty() ? 1 : static_cast<double>(near.size()) / static_cast<double>(ready.size());
   }
 
   void Apply(const EngineEntry& entry) {
@@ -308,8 +308,8 @@
     e.memory = kind.memory_mb;
     if (fresh || restarted) {
       e.bound = SeedBound(e);
-      // Beside another process, which may have sent it a whole window's worth just now: from nothing.
-      e.cold_at = beside_ > 1 ? now_ : std::max(entry.started_at, now_ - set_.fall_window);
+      // Another process, beside or before, may have sent it a whole window's worth just now: from nothing.
+      e.cold_at = beside_ > 1 ? now_ : std::max({entry.started_at, now_ - set_.fall_window, born_});
       e.period_start = now_;
     }
   }
@@ -503,8 +503,7 @@
     if (!held_.empty()) held_seen_ = true;
   }
 
-  // Nobody knows when operators will take an engine back: to wait for it would hold up the client for
-  // nothing.
+  // Nobody knows when operators take an engine back: waiting would hold up the client for nothing.
   bool AllOutByHand() const {
     bool by_hand = false;
     for (const auto& [id, e] : engines_) {
@@ -566,10 +565,11 @@
     return e.cold_credit >= e.cold_part * ColdCharge(e, q);
   }
 
-  // Known to live: those whose subsets hold the engine share most of it evenly, all gateways the rest.
+  // Those whose subsets hold the engine share most of it, by their traffic or evenly, all others the rest.
   double ColdPart(const Engine& e) const {
-    if (!siblings_) return part_;
-    return e.near ? kNearPart / sharers_ : (1 - kNearPart) / set_.gateways;
+    if (siblings_) return e.near ? kNearPart / sharers_ : (1 - kNearPart) / set_.gateways;
+    if (near_ >= 1) return part_;
+    return part_ * (e.near ? kNearPart : std::min(1.0, (1 - kNearPart) * near_ / (1 - near_)));
   }
 
   bool Cold(const Engine& e) const {
@@ -1025,13 +1025,13 @@
   double fleet_latency_ = 1, fleet_hung_ = 0, others_mean_ = 0, mean_run_ = 0.1, mean_threads_ = 1,
          mean_memory_ = 0;
   bool held_seen_ = false, aim_missed_ = false, loads_block_ = false;
-  double demand_ = 0, credit_ = 0, part_ = 0, heaviest_ = 0;
+  double demand_ = 0, credit_ = 0, part_ = 0, near_ = 1,
+         heaviest_ = 0;  // near_: share of the engines in the subset
   bool earning_ = false;
   int beside_ = 1;                    // parts that the budgets of this gateway are divided by
   std::optional<Siblings> siblings_;  // none: what the settings tell
   int sharers_ = 1;                   // gateways that have one engine in their subsets, at the most
-  Nanos probe_at_ = -kSecond;
-  Nanos flags_at_ = 0, wake_at_ = -1;
+  Nanos probe_at_ = -kSecond, flags_at_ = 0, wake_at_ = -1, born_ = -1;  // born_: the first step
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed)
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -804,6 +804,27 @@
   EXPECT_LE(sent, 2.5 * 0.76 * 8 * 1.5) << "multiple x present share x cores x window";
 }
 
+// The process that it takes the place of may have spent the window a moment ago.
+TEST(Rule4, ARestartedGatewayHasNothingToSpendOnAColdEngineAtFirst) {
+  Settings s = SomeSettings();
+  s.cold_from = 0.3;
+  s.warm_within = 15 * kSecond;
+  s.overload_multiple = 2.5;
+  s.fall_window = 1500 * kMs;
+  int at_once = 0, later = 0;
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    Host host(s, seed);
+    host.List({Ready(1, host.now - 5 * kSecond)});
+    for (RequestId id = 1; id <= 5; ++id) host.Step({Ask(id)});
+    at_once += static_cast<int>(host.sends.size());
+    host.RunUntil(host.now + kSecond);
+    host.Step({Ask(9)});
+    later += static_cast<int>(host.sends.size());
+  }
+  EXPECT_EQ(at_once, 0);
+  EXPECT_GT(later, 40) << "a window's worth is earned within the window";
+}
+
 // A fifth of oslo-main-later's sends met a load that held their table group at another gateway's word.
 TEST(Choice, LoadsAndReadersOfATableGroupNeverShareAnEngine) {
   Settings s = SomeSettings();
