Find a silent feed after 210 ms, and come back to one that is down ever more seldom, with jitter

Cause: a watch that fell silent was found after 250 ms, then a connect and a call were due, against 250 ms (+50) for a drain; a feed that was down was called every 10 ms by each of 300 proxies, in step, and a connect that hung cost 250 ms of those 300.

Change: 60 ms of grace and 150 ms for a connect; the pause between connections that bring nothing doubles from 10 to 80 ms, jittered between half and the whole of it by the proxy's seed.

Worst case by arithmetic: 150 + 60 ms and two round trips on a silent watch; 150 + 80 ms and the same on a feed that returns.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -396,7 +396,7 @@
     fleet->Start();
   }
   if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
-  membership::Feed feed(loop, directory, config.feed, tell);
+  membership::Feed feed(loop, directory, config.feed, tell, config.seed);
   Running running{config, site,     server, broker, engines, directory,
                   feed,   counters, tell,   most,   "",      file.fleet ? &fleet->settings() : nullptr,
                   {},     nullptr};
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -2,6 +2,8 @@
 
 #include <spdlog/spdlog.h>
 
+#include <algorithm>
+
 #include "http/connection.h"
 
 namespace lemoncroft::membership {
@@ -10,12 +12,15 @@
 using namespace std::chrono_literals;
 using runtime::Io;
 
-// An event counts as told once the feed has it, and work to an engine that drains must stop 250 ms later: a
-// connection that has died silently must show well before that.
-constexpr auto kWait = 150ms;   // asked of the feed
-constexpr auto kGrace = 100ms;  // beyond it until a silent feed counts as lost
-constexpr auto kConnect = 250ms;
-constexpr auto kPause = 10ms;  // between connections
+// An event counts as told once the feed has it, and work to an engine that drains must stop 250 ms later. So
+// a connection that has died silently must show, and a new one be up and asked, before that: 150 + 60 ms and
+// a round trip or two. While the feed is down a connect and the pause after it stay below that as well.
+constexpr auto kWait = 150ms;  // asked of the feed
+constexpr auto kGrace = 60ms;  // beyond it until a silent feed counts as lost
+constexpr auto kConnect = 150ms;
+// Between connections: longer with each that brings nothing, and jittered, since hundreds of proxies come
+// back to a feed that was down at the same moment.
+constexpr runtime::Span kPauseLeast = 10ms, kPauseMost = 80ms;
 constexpr codec::HttpParser::Limits kLimits{16 * 1024, 4 * 1024 * 1024};
 
 }  // namespace
@@ -27,12 +32,20 @@
     if (host_port_.empty()) {
       co_await loop_.SleepUntil(runtime::kNever, &moved);
     } else {
+      heard_now_ = false;
       co_await Follow(moved);
-      co_await loop_.Sleep(kPause, &moved);
+      pause_ = heard_now_ ? kPauseLeast : std::clamp(2 * pause_, kPauseLeast, kPauseMost);
+      co_await loop_.Sleep(Jittered(pause_), &moved);
     }
   }
 }
 
+// Between half and the whole of it.
+runtime::Span Feed::Jittered(runtime::Span pause) {
+  return pause / 2 +
+         runtime::Span(std::uniform_int_distribution<runtime::Span::rep>(0, (pause / 2).count())(random_));
+}
+
 // What is asked for at the old address is left at once: a feed that moves away need not close it.
 void Feed::MoveTo(std::string host_port) {
   if (host_port == host_port_) return;
@@ -69,6 +82,7 @@
       spdlog::warn("control feed: {}", e.what());
     }
     heard_ = heard_ || readable;
+    heard_now_ = heard_now_ || readable;
     if (!readable || !connection.Reusable()) co_return;
   }
 }
--- a/src/membership/feed.h
+++ b/src/membership/feed.h
@@ -2,8 +2,10 @@
 #ifndef LEMONCROFT_MEMBERSHIP_FEED_H_
 #define LEMONCROFT_MEMBERSHIP_FEED_H_
 
+#include <cstdint>
 #include <functional>
 #include <memory>
+#include <random>
 #include <string>
 
 #include "lemoncroft/gateway.h"
@@ -14,8 +16,14 @@
 
 class Feed {
  public:
-  Feed(runtime::Loop& loop, Directory& directory, std::string host_port, std::function<void(EngineList)> tell)
-      : loop_(loop), directory_(directory), host_port_(std::move(host_port)), tell_(std::move(tell)) {}
+  // `seed`: for the jitter of its pauses, another at each proxy.
+  Feed(runtime::Loop& loop, Directory& directory, std::string host_port, std::function<void(EngineList)> tell,
+       std::uint64_t seed)
+      : loop_(loop),
+        directory_(directory),
+        host_port_(std::move(host_port)),
+        tell_(std::move(tell)),
+        random_(static_cast<std::minstd_rand::result_type>(seed)) {}
 
   runtime::Task<> Run();
   bool followed() const { return !host_port_.empty(); }
@@ -24,13 +32,16 @@
   void MoveTo(std::string host_port);
 
  private:
+  runtime::Span Jittered(runtime::Span pause);
   runtime::Task<> Follow(runtime::Cancellation& moved);  // on one connection, until it fails
 
   runtime::Loop& loop_;
   Directory& directory_;
   std::string host_port_;  // empty: none is followed
   std::function<void(EngineList)> tell_;
-  bool heard_ = false;
+  bool heard_ = false, heard_now_ = false;  // since the start, since the last connection
+  runtime::Span pause_{};
+  std::minstd_rand random_;
   std::unique_ptr<runtime::Cancellation> moved_ = std::make_unique<runtime::Cancellation>();
 };
 
--- a/tests/proxy_test.cpp
+++ b/tests/proxy_test.cpp
@@ -2,8 +2,12 @@
 #include <gtest/gtest.h>
 #include <sys/socket.h>
 
+#include <chrono>
+#include <vector>
+
 #include "codec/json.h"
 #include "membership/directory.h"
+#include "membership/feed.h"
 #include "runtime/loop.h"
 #include "runtime/socket.h"
 
@@ -32,6 +36,36 @@
   EXPECT_EQ(directory.remembered(), 3u);
 }
 
+// Hundreds of proxies would come back to a feed that was down in step, a hundred times a second each.
+TEST(Feed, ComesBackMoreAndMoreSeldomToAFeedThatIsDownButOftenEnough) {
+  runtime::Loop loop;
+  settings::InForce site{settings::Site()};
+  membership::Directory directory(site);
+  // A listening socket that hangs up on everyone.
+  runtime::Listener down(loop, *runtime::Address::Parse("127.0.0.1:0"));
+  std::vector<runtime::Time> came;
+  const auto hang_up = [&]() -> runtime::Task<> {
+    for (std::unique_ptr<runtime::Socket> socket;; socket.reset()) {
+      if (co_await down.Accept(socket) == runtime::Io::kOk) came.push_back(runtime::Now());
+    }
+  };
+  const auto watch = [&]() -> runtime::Task<> {
+    co_await loop.Sleep(std::chrono::milliseconds(1500));
+    loop.Stop();
+  };
+  membership::Feed feed(
+      loop, directory, down.address().Text(), [](const EngineList&) {}, 7);
+  loop.Spawn(hang_up());
+  loop.Spawn(feed.Run());
+  loop.Spawn(watch());
+  loop.Run();
+  EXPECT_GE(came.size(), 10u) << "its return must be seen well within a drain's grace";
+  EXPECT_LE(came.size(), 45u);
+  for (std::size_t i = 6; i < came.size(); ++i) {
+    EXPECT_GE(came[i] - came[i - 1], std::chrono::milliseconds(38)) << i;
+  }
+}
+
 // Hundreds of idle connections wait with a buffer each.
 TEST(Socket, ABufferThatWaitsForBytesHoldsNoMemoryForThem) {
   runtime::Loop loop;
