--- a/src/backend/pool.cpp
+++ b/src/backend/pool.cpp
@@ -6,7 +6,7 @@
 using namespace std::chrono_literals;
 
 namespace {
-constexpr auto kRest = 5ms;
+constexpr auto kRest = 25ms;
 }
 
 Lease& Lease::operator=(Lease&& other) noexcept {
