--- a/tests/backend_test.cpp
+++ b/tests/backend_test.cpp
@@ -6,6 +6,7 @@
 #include <sys/socket.h>
 
 #include <functional>
+#include <utility>
 #include <vector>
 
 #include "backend/engines.h"
@@ -140,5 +141,178 @@
   if (side) EXPECT_EQ(Heard(side.get(), 100ms), "");
 }
 
+// The client leaves while the connection for its attempt comes up: nothing goes out later.
+TEST_F(Backend, AnAttemptWhoseClientLeavesWhileItConnectsNeverLeaves) {
+  Door door(Door::Held::kYes);
+  List(door);
+  const auto leave = [&]() -> runtime::Task<> {
+    co_await loop_.Sleep(30ms);
+    cancel_.Cancel();
+  };
+  loop_.Spawn(leave());
+  const runtime::Time from = Now();
+  Play(SomeAttempt());
+  EXPECT_EQ(result_.outcome, Outcome::kMoot);
+  EXPECT_LT(Now() - from, 100ms + 30ms) << "the bound on attempts after a client has left";
+  EXPECT_EQ(counters_.tries(), 0u);
+}
+
+// An engine on the same loop. `answer` is handed each call as it came and the connection it came on.
+class Engine {
+ public:
+  using Answer = std::function<runtime::Task<>(const std::string& call, runtime::Socket& socket)>;
+  Engine(runtime::Loop& loop, Answer answer)
+      : loop_(loop), answer_(std::move(answer)), listener_(loop, *runtime::Address::Parse("127.0.0.1:0")) {
+    loop_.Spawn(AcceptAll());
+  }
+  std::string host_port() const { return listener_.address().Text(); }
+  int connections() const { return connections_; }
+
+ private:
+  runtime::Task<> AcceptAll() {
+    for (;;) {
+      std::unique_ptr<runtime::Socket> socket;
+      if (co_await listener_.Accept(socket) != runtime::Io::kOk) continue;
+      ++connections_;
+      loop_.Spawn(Serve(std::move(socket)));
+    }
+  }
+  runtime::Task<> Serve(std::unique_ptr<runtime::Socket> socket) {
+    std::string in;
+    while (co_await socket->Read(in, 4096, runtime::kNever) == runtime::Io::kOk) {
+      const std::size_t head = in.find("\r\n\r\n");
+      if (head == std::string::npos) continue;
+      const std::size_t sized = in.find("Content-Length: ");
+      const std::size_t body = sized < head ? std::stoul(in.substr(sized + 16)) : 0;
+      if (in.size() < head + 4 + body) continue;
+      const std::string call = std::exchange(in, {});
+      co_await answer_(call, *socket);
+      if (closes) co_return;
+    }
+  }
+
+  runtime::Loop& loop_;
+  Answer answer_;
+  runtime::Listener listener_;
+  int connections_ = 0;
+
+ public:
+  bool closes = false;  // behind the answer that is being given
+};
+
+runtime::Task<> Say(runtime::Socket& socket, std::string text) {
+  std::size_t written = 0;
+  co_await socket.Write(text, written, Now() + 1s);
+}
+
+std::string Good(const std::string& rows) {
+  return "HTTP/1.1 200 OK\r\nChunks: 1\r\nContent-Length: " + std::to_string(rows.size()) + "\r\n\r\n" + rows;
+}
+
+class Answers : public Backend {
+ protected:
+  void ListEngine(const std::string& host_port) {
+    directory_.Apply(
+        codec::Json::Parse(
+            R"({"n":1,"events":[{"n":1,"members":{"complete":true,"members":[{"id":"s","host_port":")" +
+            host_port + R"(","phase":"Ready","up_since_ms":0}]}}]})"),
+        [this](const EngineList& list) { engine_ = list.entries->at(0).engine; });
+    passed_ = {"00000000000000aa", "load", "", "select 1"};
+  }
+};
+
+// An answer that breaks off at any byte is none: the engine is asked for it again, and told nothing twice.
+TEST_F(Answers, OneThatBreaksOffAtAnyByteIsAskedForAnew) {
+  const std::string good = Good("x\ty\tz\n");
+  std::size_t cut = 0;
+  int posts = 0;
+  Engine* self = nullptr;
+  Engine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
+    const bool post = call.starts_with("POST ");
+    posts += post;
+    self->closes = post;
+    std::string text = good;
+    if (post) text.resize(cut);
+    co_await Say(socket, std::move(text));
+  });
+  self = &engine;
+  ListEngine(engine.host_port());
+  const auto all = [&]() -> runtime::Task<> {
+    for (cut = 0; cut < good.size(); ++cut) {
+      const auto attempt = SomeAttempt();
+      result_ = co_await engines_.Run(attempt, cancel_);
+      EXPECT_EQ(result_.outcome, Outcome::kOk) << "cut at " << cut;
+      EXPECT_EQ(result_.rows, "x\ty\tz\n") << "cut at " << cut;
+    }
+    loop_.Stop();
+  };
+  loop_.Spawn(all());
+  loop_.Run();
+  EXPECT_EQ(posts, static_cast<int>(good.size())) << "a statement goes out once";
+}
+
+// Byte after byte, always in time for the next, and never whole; or without any end to its body.
+class Endless : public Answers, public testing::WithParamInterface<bool> {};
+
+TEST_P(Endless, IsLeftWithinItsTime) {
+  const bool trickles = GetParam();
+  {
+    Engine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
+      if (!call.starts_with("POST ")) co_return co_await Say(socket, Good("x\ty\tz\n"));
+      co_await Say(socket, "HTTP/1.1 200 OK\r\nChunks: 1\r\n\r\n");
+      for (std::size_t written = 1; written > 0;) {
+        const std::string more(trickles ? 1 : 64 * 1024, 'x');
+        if (co_await socket.Write(more, written, Now() + 1s) != runtime::Io::kOk) co_return;
+        co_await loop_.Sleep(trickles ? 20ms : 1ms);
+      }
+    });
+    ListEngine(engine.host_port());
+    const runtime::Time from = Now();
+    const auto one = [&]() -> runtime::Task<> {
+      const auto attempt = SomeAttempt();
+      result_ = co_await engines_.Run(attempt, cancel_);
+      loop_.Stop();
+    };
+    loop_.Spawn(one());
+    loop_.Run();
+    EXPECT_EQ(result_.outcome, Outcome::kOk);
+    EXPECT_EQ(result_.rows, "x\ty\tz\n");
+    EXPECT_LT(Now() - from, 700ms) << "300 ms for the news, and a question anew";
+  }
+}
+INSTANTIATE_TEST_SUITE_P(Answer, Endless, testing::Values(true, false));
+
+// Nothing in page 0 names its query: a second answer that meets the next one's question would be taken for
+// its result.
+TEST_F(Answers, ASecondOneThatComesLaterIsNoneOfTheNextQuerys) {
+  int posts = 0;
+  const auto late = [&](runtime::Socket& socket, std::string text) -> runtime::Task<> {
+    co_await loop_.Sleep(12ms);
+    co_await Say(socket, std::move(text));
+  };
+  Engine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
+    if (call.starts_with("POST ") && ++posts == 1) {
+      co_await Say(socket, Good("first\ty\tz\n"));
+      loop_.Spawn(late(socket, Good("first\ty\tz\n")));  // the same once more
+      co_return;
+    }
+    co_await loop_.Sleep(20ms);  // so that the second one is there before it
+    co_await Say(socket, Good("next\ty\tz\n"));
+  });
+  ListEngine(engine.host_port());
+  const auto both = [&]() -> runtime::Task<> {
+    const auto attempt = SomeAttempt();
+    co_await engines_.Run(attempt, cancel_);
+    co_await loop_.Sleep(6ms);
+    passed_.id = "00000000000000bb";
+    result_ = co_await engines_.Run(attempt, cancel_);
+    loop_.Stop();
+  };
+  loop_.Spawn(both());
+  loop_.Run();
+  EXPECT_EQ(result_.outcome, Outcome::kOk);
+  EXPECT_EQ(result_.rows, "next\ty\tz\n");
+}
+
 }  // namespace
 }  // namespace lemoncroft
--- a/tests/scenario.cpp
+++ b/tests/scenario.cpp
@@ -13,7 +13,9 @@
 #include <cerrno>
 #include <chrono>
 #include <cstdlib>
+#include <filesystem>
 #include <fstream>
+#include <list>
 #include <optional>
 #include <sstream>
 #include <stdexcept>
@@ -473,6 +475,7 @@
   void Do(const Words& w) {
     const std::string& party = w[0];
     if (party == "wait") return std::this_thread::sleep_for(std::chrono::milliseconds(std::stoi(w.at(1))));
+    if (party == "crowd") return Crowd(std::stoi(w.at(1)));
     if (party == "pieces") return void(piece_size = std::stoul(w.at(1)));
     if (party == "clock") return w.at(1) == "send" ? void(clock_ = Clock::now()) : ExpectPassed(w.at(2));
     if (party == "engine") return void(servers_.try_emplace(w.at(1)));
@@ -612,6 +615,15 @@
     ::_exit(127);
   }
 
+  // So many clients that have asked once and rest.
+  void Crowd(int size) {
+    for (int i = 0; i < size; ++i) {
+      Client& one = crowd_.emplace_back(listen_);
+      one.Send({"", "send", "ready", "1"});
+      one.Expect({"", "expect", "ready", "0"});
+    }
+  }
+
   // The platform holds the clients' listening socket: every process inherits it.
   void Hold() {
     held_ = Listen();
@@ -688,7 +700,17 @@
     Same("trace", traced, Read(std::string(LEMONCROFT_SCENARIOS) + "/" + name));
   }
 
+  // It holds no more than that, of all kinds.
+  void ExpectDescriptors(std::size_t most) const {
+    std::size_t open = 0;
+    for ([[maybe_unused]] const auto& entry :
+         std::filesystem::directory_iterator("/proc/" + std::to_string(pid_) + "/fd"))
+      ++open;
+    if (open > most) Wrong(std::to_string(open) + " descriptors are open");
+  }
+
   void Program(const Words& w) {
+    if (w.at(1) == "descriptors") return ExpectDescriptors(std::stoul(w.at(2)));
     if (w.at(1) == "start") {
       Launch({"serve", "--log-level", w.size() > 2 ? w[2] : "debug"});
       return AwaitReady();
@@ -728,6 +750,7 @@
 
   std::map<std::string, Server> servers_;
   std::map<std::string, Client> clients_;
+  std::list<Client> crowd_;
   std::map<std::string, Caller> callers_;
   Listening held_;  // without a descriptor: the program binds its own
   std::vector<std::pair<std::string, std::string>> environment_;
