--- a/tests/backend_test.cpp
+++ b/tests/backend_test.cpp
@@ -50,7 +50,7 @@
   // One more of its own; false: it did not come up, so the queue is full.
   bool Fill() {
     Descriptor mine(::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0));
-    ::connect(mine.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_);
+    static_cast<void>(::connect(mine.get(), reinterpret_cast<const sockaddr*>(&address_), sizeof address_));
     pollfd p{mine.get(), POLLOUT, 0};
     if (::poll(&p, 1, 100) <= 0) return false;
     fill_.push_back(std::move(mine));
--- a/tests/cold_fleet_test.cpp
+++ b/tests/cold_fleet_test.cpp
@@ -145,8 +145,7 @@
         m.events.push_back(m.out.top().end);
         m.out.pop();
       }
-      for (double mean = m.rate * 0.005, left = -std::log(1 - chance()); left < mean;
-           left += -std::log(1 - chance())) {
+      for (int n = std::poisson_distribution<int>(m.rate * 0.005)(random); n > 0; --n) {
         const double pick = chance();
         const std::uint16_t klass = pick < kClasses[0].share ? 0 : pick < 1 - kClasses[2].share ? 1 : 2;
         Request r;
