Serve sites without tenants, read load reports, keep the order of keys

Change: kNoTenant; backend/load_report reads X-Gauges of answers and of /stats; codec/order_key turns item into the module's key; a reload that turns order on binds open requests too. reports/reported_load knows whether an engine keeps the promise of reports: after three in a row that were due and didn't come, heavy queries go on without, and a probe every 5 s looks again where reports come by probes alone. A waiting line on a site without tenants is refused with a plain line.

Test settings of gateway_test now say that their reports come in answers, which the module had assumed.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -10,6 +10,7 @@
 #define LEMONCROFT_GATEWAY_H_
 
 #include <array>
+#include <cstddef>
 #include <cstdint>
 #include <limits>
 #include <memory>
@@ -25,6 +26,8 @@
 inline constexpr Nanos kNoLimit = std::numeric_limits<Nanos>::max();
 using RequestId = std::uint64_t;
 using EngineId = std::uint32_t;
+// The tenant of a request on a site that has none.
+inline constexpr std::uint16_t kNoTenant = std::numeric_limits<std::uint16_t>::max();
 
 enum class Effect { kSafe, kKeyed, kUnsafe };
 enum class RepeatGroup { kAll, kZone, kCell };  // the engines that discard a keyed request's repeats
@@ -75,7 +78,8 @@
   std::vector<ClassSettings> classes;
   std::vector<TenantSettings> tenants;
   std::vector<KindSettings> kinds;
-  std::vector<ReportField> report_fields;
+  std::vector<ReportField> report_fields;  // of load reports, in order; empty: there are none
+  bool reports_in_answers = false;         // else in the results of probes alone
   double over_share_worth = 1;
 
   Nanos drain_grace = 0;
@@ -132,10 +136,10 @@
 struct Request {
   RequestId id = 0;
   std::uint16_t klass = 0;
-  std::uint16_t tenant = 0;
-  std::uint64_t key = 0;  // 0 = none
-  Nanos patience = 0;     // until the client gives up on this try
-  Nanos est_work = 0;     // 0 = no estimate
+  std::uint16_t tenant = 0;  // kNoTenant where the site has none
+  std::uint64_t key = 0;     // of the order that its class keeps; 0 = none
+  Nanos patience = 0;        // until the client gives up on this try
+  Nanos est_work = 0;        // 0 = no estimate
   double est_memory_mb = 0;
   std::uint32_t tables = 0;
   bool repeat = false;  // marked by the client
@@ -144,9 +148,12 @@
 // kLost: it may have run, but its answer was lost or spoilt on the way from an engine that is there.
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kMoot, kLost };
 
+inline constexpr std::size_t kReportFieldsMost = 4;
+
 struct LoadReport {
-  std::uint8_t count = 0;  // 0 = no report; else the values of Settings::report_fields
-  std::array<float, 4> values{};
+  std::uint8_t count =
+      0;  // 0 = no report; else the values of Settings::report_fields, NaN where one is missing
+  std::array<float, kReportFieldsMost> values{};
 };
 
 struct AttemptEnded {
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -6,6 +6,8 @@
 #include <cmath>
 #include <utility>
 
+#include "backend/load_report.h"
+
 namespace lemoncroft::backend {
 
 using runtime::Io;
@@ -28,6 +30,9 @@
 constexpr std::size_t kRowsMost = 64 * 1024;  // a result has 48,000 bytes at most
 constexpr double kMemoryMost = 1e6;           // MB: past this it is no measurement
 constexpr std::size_t kColumns = 3;
+constexpr std::string_view kGaugesHeader = "X-Gauges";
+constexpr const char* kHealthPath = "/healthz";
+constexpr const char* kStatsPath = "/stats";
 
 std::string PathOf(const std::string& id) { return "/v2/q/" + id; }
 
@@ -137,7 +142,10 @@
       counters_.Tried();
       io = co_await query.lease->Receive(until, &query.cancel, query.response);
     }
-    if (io == Io::kOk && Fits(*query.lease, query.response, 0)) co_return Outcome::kOk;
+    if (io == Io::kOk && Fits(*query.lease, query.response, 0)) {
+      TakeReport(query);
+      co_return Outcome::kOk;
+    }
     if (io == Io::kOk || query.lease->sent_any()) {
       if (io == Io::kCancelled) co_return Outcome::kCancelled;
       // It may run although its answer is spoilt, late or lost with its connection: the engine can be asked.
@@ -151,6 +159,14 @@
   }
 }
 
+// The newest report is kept: the pages that follow a query's end may come without one.
+void Engines::TakeReport(Query& query) const {
+  const std::string* gauges = query.response.Find(kGaugesHeader);
+  if (gauges == nullptr) return;
+  const LoadReport report = ParseLoadReport(*gauges, report_fields_);
+  if (report.count > 0) query.result.load = report;
+}
+
 // A question about the query: its news (page 0) or a page. A query belongs to no connection, and its answers
 // can be had again: what is lost, spoilt or late is asked for anew, on a connection that nothing has been on.
 Task<Outcome> Engines::Ask(Query& query, int page) {
@@ -175,7 +191,10 @@
     }
     const runtime::Span within = page == 0 ? kNewsWithin : kPageWithin * (tries + 1);
     const Io io = co_await query.lease->Call(ask, query.Limit(within), &query.cancel, query.response);
-    if (io == Io::kOk && Fits(*query.lease, query.response, page)) co_return Outcome::kOk;
+    if (io == Io::kOk && Fits(*query.lease, query.response, page)) {
+      TakeReport(query);
+      co_return Outcome::kOk;
+    }
     if (io == Io::kCancelled) co_return Outcome::kCancelled;
     if (Now() >= query.attempt.deadline) co_return Outcome::kTimeout;
     heard = heard || io != Io::kTimeout;
@@ -255,18 +274,24 @@
   loop_.Spawn(Order(engine, "PUT", std::move(id), std::to_string(priority)));
 }
 
-Task<Outcome> Engines::Probe(EngineId engine) {
+Task<ProbeResult> Engines::Probe(EngineId engine) {
+  ProbeResult result;
   Lease lease;
   const Io up = co_await pool_.Acquire(engine, Now() + connect_timeout_, nullptr, lease);
-  if (up != Io::kOk) co_return Outcome::kConnectFailed;
+  if (up != Io::kOk) co_return result;
   codec::HttpRequest request;
   request.method = "GET";
-  request.path = "/healthz";
+  request.path = report_fields_.empty() ? kHealthPath : kStatsPath;
   codec::HttpResponse response;
   const Io io = co_await lease->Call(request, Now() + connect_timeout_, nullptr, response);
-  if (io == Io::kTimeout) co_return Outcome::kTimeout;
-  if (io != Io::kOk) co_return Outcome::kReset;
-  co_return response.status == 200 ? Outcome::kOk : Outcome::kFull;
+  if (io != Io::kOk) {
+    result.outcome = io == Io::kTimeout ? Outcome::kTimeout : Outcome::kReset;
+    co_return result;
+  }
+  result.outcome = response.status == 200 ? Outcome::kOk : Outcome::kFull;
+  if (const std::string* gauges = response.Find(kGaugesHeader))
+    result.load = ParseLoadReport(*gauges, report_fields_);
+  co_return result;
 }
 
 }  // namespace lemoncroft::backend
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -3,6 +3,8 @@
 #define LEMONCROFT_BACKEND_ENGINES_H_
 
 #include <string>
+#include <utility>
+#include <vector>
 
 #include "backend/pool.h"
 #include "broker/authority.h"
@@ -26,9 +28,16 @@
   Outcome outcome = Outcome::kReset;
   runtime::Span work{};  // what the query needed; zero: not told
   double memory_mb = 0;
+  LoadReport load;  // that came with its end, if one did
   std::string rows;
 };
 
+// What one health check found.
+struct ProbeResult {
+  Outcome outcome = Outcome::kConnectFailed;
+  LoadReport load;
+};
+
 class Engines {
  public:
   Engines(runtime::Loop& loop, const membership::Directory& directory, Pool::Limits limits,
@@ -43,13 +52,17 @@
   runtime::Task<Result> Run(const Attempt& attempt, runtime::Cancellation& cancel);
   // Gives what runs a new priority; best effort.
   void Reprioritise(EngineId engine, std::string id, int priority);
-  runtime::Task<Outcome> Probe(EngineId engine);
+  // Asks for the load report where the site's engines have one, else for the engine's health alone.
+  runtime::Task<ProbeResult> Probe(EngineId engine);
 
   bool giving_up() const { return orders_ > 0; }  // an engine is still to be told of something
   Pool& pool() { return pool_; }
   // Asked just before each statement goes out; null: none is.
   void set_authority(broker::Authority* authority) { authority_ = authority; }
   void set_connect_timeout(runtime::Span span) { connect_timeout_ = span; }
+  // Names of the values in load reports, in the order of Settings::report_fields; empty: there are no
+  // reports.
+  void set_report_fields(std::vector<std::string> names) { report_fields_ = std::move(names); }
 
  private:
   struct Query;
@@ -58,6 +71,7 @@
   runtime::Task<Outcome> Start(Query& query);
   runtime::Task<Outcome> Follow(Query& query);
   runtime::Task<Outcome> FetchPages(Query& query);
+  void TakeReport(Query& query) const;  // of the answer that has just come
   runtime::Task<> Settle(Lease busy);
   runtime::Task<> Order(EngineId engine, std::string method, std::string id, std::string body);
 
@@ -67,6 +81,7 @@
   Pool pool_;
   runtime::Span connect_timeout_;
   broker::Authority* authority_ = nullptr;
+  std::vector<std::string> report_fields_;
   int orders_ = 0;  // under way
 };
 
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -306,6 +306,7 @@
   event.finished = finished;
   event.work = ToNanos(ended.result.work);
   event.memory_mb = ended.result.memory_mb;
+  event.load = ended.result.load;
   const ClientRequest& request = life.request;
   spdlog::debug("request {} {} group {}: attempt {} at {} ended {} after {} ms, held {} ms, work {} of {} ms",
                 request.passed.id, request.passed.lane, request.tables, ended.attempt, running.engine,
@@ -331,6 +332,7 @@
   request.id = life.id;
   request.klass = from.klass;
   request.tenant = from.tenant;
+  request.key = from.order_key;
   request.patience = std::max<Nanos>(0, ToNanos(from.deadline - Now()));
   request.est_work = ToNanos(from.est_work);
   request.est_memory_mb = from.est_memory_mb;
@@ -365,7 +367,9 @@
   const Time started = Now();
   Probed probed;
   probed.engine = engine;
-  probed.outcome = co_await engines_.Probe(engine);
+  const backend::ProbeResult result = co_await engines_.Probe(engine);
+  probed.outcome = result.outcome;
+  probed.load = result.load;
   probed.waited = ToNanos(Now() - started);
   host_.Post(probed);
 }
--- a/src/broker/request.h
+++ b/src/broker/request.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <string>
 
+#include "lemoncroft/gateway.h"
 #include "runtime/loop.h"
 
 namespace lemoncroft::broker {
@@ -22,7 +23,8 @@
 struct ClientRequest {
   Passed passed;
   std::uint16_t klass = 0;
-  std::uint16_t tenant = 0;
+  std::uint16_t tenant = kNoTenant;
+  std::uint64_t order_key = 0;  // 0: none
   std::uint32_t tables = 0;
   runtime::Time deadline{};  // when the client stops waiting
   runtime::Span est_work{};  // zero: no estimate
--- a/src/cli/config.cpp
+++ b/src/cli/config.cpp
@@ -96,7 +96,7 @@
     if (!IsName(name)) throw ConfigError(what + ": a name is missing or unusable");
     if (!seen.insert(name).second) throw ConfigError(what + ": '" + name + "' is there twice");
   }
-  if (names.empty() || names.size() > kNamesMost) throw ConfigError(what + ": none, or too many");
+  if (names.size() > kNamesMost) throw ConfigError(what + ": too many");
 }
 
 std::uint64_t ReadSeed(const std::string& text) {
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -151,6 +151,7 @@
   running.broker.Retune(std::move(succession.like), MostRequests(*running.site, running.most));
   running.directory.Renumber(running.tell);
   running.engines.set_connect_timeout(broker::ToSpan(running.site->module.connect_timeout));
+  running.engines.set_report_fields(running.site->report_fields);
   running.engines.pool().set_idle(IdleFor(*running.site));
   for (const std::string& klass : running.site->classes)
     if (!klass.empty()) running.counters.Know(klass);
@@ -355,6 +356,7 @@
   for (const std::string& klass : site->classes) counters.Know(klass);
   backend::Engines engines(loop, directory, PoolLimits(config), broker::ToSpan(site->module.connect_timeout),
                            counters);
+  engines.set_report_fields(site->report_fields);
   op::OperatorFile file = ReadOperator(paths, *site);
   const std::size_t most = file.waiting ? file.waiting->line.waiting : broker::Broker::Limits().requests;
   broker::Broker broker(loop, site, config.seed, engines, counters, RequestLimits(config, memory_mb, most));
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -9,6 +9,7 @@
 #include <optional>
 #include <utility>
 
+#include "codec/order_key.h"
 #include "codec/statement.h"
 #include "runtime/lingering_close.h"
 
@@ -436,6 +437,8 @@
   const ClassSettings& rules = site_->module.classes[*klass];
   const std::string_view key = fields.Get("unique");
   if ((!key.empty() || rules.effect == Effect::kKeyed) && !IsKey(key)) return "unusable unique";
+  const std::string_view item = fields.Get("item");
+  if (!item.empty() && !codec::IsOrderKey(item)) return "unusable item";
   if (fields.body.empty()) return "no statement";
   // Absent figures have a default; a figure out of all proportion would pass for a load that no engine has.
   const auto figure = [&fields](std::string_view name, double absent, double most) {
@@ -451,6 +454,7 @@
   if (!limit || !cpu || !heap) return "figure unreadable or out of range";
   out.klass = *klass;
   out.tenant = *tenant;
+  out.order_key = item.empty() ? 0 : codec::OrderKeyNumber(item);
   out.deadline = Now() + FromMs(*limit);
   out.est_work = FromMs(*cpu);
   out.est_memory_mb = *heap;
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -14,8 +14,13 @@
 #include <unordered_map>
 #include <utility>
 
+#include "limits/cold_budget.h"
+#include "limits/placement.h"
+#include "limits/retry_budget.h"
 #include "limits/token_bucket.h"
+#include "reports/reported_load.h"
 #include "subset/subset.h"
+#include "subset/warm_tables.h"
 
 namespace lemoncroft {
 namespace {
@@ -42,9 +47,9 @@
 constexpr double kCrowded = 1.5;          // threads a core past which an engine takes no first heavy query
 constexpr double kMemoryFill = 0.85;      // of an engine's memory that heavy queries may take
 constexpr double kLight = 0.25;           // of the heaviest class's mean work: counted apart
-constexpr Nanos kReportFresh = kSecond;   // a load report older than this tells nothing
 constexpr std::size_t kProbed = 2;        // engines to choose from that a heavy query waits to know
 constexpr Nanos kProbeBeat = 250 * kMs;   // one probe for each, with heavy queries held: more would herd
+constexpr Nanos kSilentBeat = 20 * kProbeBeat;  // likewise, of engines that have told nothing so far
 // Learning: weight of the newest sample in a mean.
 constexpr double kFast = 0.1;          // an engine's latency: some ten answers
 constexpr double kOutlier = 3;         // times the mean: a sample counts as no more
@@ -80,12 +85,11 @@
 constexpr int kKills = 2;               // cancels of one request: then it is held to be heavy itself
 constexpr double kSameAgain = 0.4;      // a second projection above this share of the first: heavy itself
 // Choice of engine.
-constexpr std::size_t kWarmGroups = 4;  // table groups assumed warm on an engine
-constexpr double kWarmGain = 0.5;       // of a query's work saved by a warm group (assumed)
-constexpr std::size_t kHomes = 2;       // engines that keep a table group warm for all gateways
-constexpr double kOverdue = 2;          // times its expected time: an attempt hints at a sick engine
-constexpr double kNearPart = 0.8;       // of a cold engine's budget, to those whose subsets hold it
-constexpr double kLoadSide = 0.5;       // share of engines that take a table group's loads, not its readers
+constexpr double kWarmGain = 0.5;  // of a query's work saved by a warm group (assumed)
+constexpr std::size_t kHomes = 2;  // engines that keep a table group warm for all gateways
+constexpr double kOverdue = 2;     // times its expected time: an attempt hints at a sick engine
+constexpr double kNearPart = 0.8;  // of a cold engine's budget, to those whose subsets hold it
+constexpr double kLoadSide = 0.5;  // share of engines that take a table group's loads, not its readers
 // Held queries.
 constexpr int kTries = 4;                  // held queries of a group tried in one decision
 constexpr double kLateLeast = 0.15;        // late worth below this share isn't waited for
@@ -105,8 +109,7 @@
 };
 
 struct Learned {  // about one life of an engine
-  Nanos report_at = -1;
-  double others = 0;   // queries that other gateways run there
+  reports::ReportedLoad load;
   double latency = 1;  // against the best of the class
   int samples = 0;
   double errors = 0, hung = 0;
@@ -115,7 +118,7 @@
   double cold_credit = 0;  // thread seconds that may be sent while it is cold
   double cold_part = 1;    // of a query's charge that must be there
   Nanos cold_at = 0, cold_drawn = 0;
-  std::deque<std::uint32_t> warm;  // table groups last read, newest first
+  subset::WarmTables warm;
   // The bound and its feedback.
   double bound = 0;
   Nanos period_start = 0;
@@ -171,11 +174,12 @@
   bool lane = false;
   double grant = 0;
   double charged = 0;           // thread seconds of credit taken for the attempt
+  bool ordered = false;         // has a place in its key's line
   std::vector<EngineId> erred;  // engines that said error to it
   int kills = 0;
   double projected = 0;     // duration at the pace last noted before a kill
   Nanos maybe_ran_at = -1;  // when the first attempt that may have run was sent
-  EngineId maybe_engine = 0;
+  EngineEntry maybe_engine;
 };
 
 struct KeyLine {
@@ -222,6 +226,7 @@
 
   void TakeSettings(const std::vector<int>& like) {
     TakeSiblings();
+    promise_ = reports::Promise::Of(set_);
     tenants_.resize(set_.tenants.size());
     loads_block_ = false;
     const std::vector<ClassStats> before = std::exchange(stats_, {});
@@ -240,6 +245,7 @@
     if (!retuned.settings) return;
     set_ = *retuned.settings;
     TakeSettings(retuned.like);
+    OrderOpen(retuned.like);
     std::vector<RequestId> spent;
     for (const auto& [key, group] : held_)
       for (const auto& [work, id] : group)
@@ -332,8 +338,9 @@
     q.worth = c.worth * (OverShare(request) ? set_.over_share_worth : 1);
     // What can't be done in time is no demand, however much a client says that it wants.
     demand_ += std::min(q.work, q.threads * Seconds(request.patience)) / kDemandMemory;
-    if (set_.attempt_budget) taken_.push_back(now_);
-    if (Ordered(q)) keys_[request.key].order.push_back(request.id);
+    if (set_.attempt_budget) retries_.Taken(now_);
+    q.ordered = c.in_order && request.key != 0;
+    if (q.ordered) keys_[request.key].order.push_back(request.id);
     Enter(q);
   }
 
@@ -420,10 +427,25 @@
 
   // ---- Order per key ----
 
-  bool Ordered(const Query& q) const { return Class(q).in_order && q.in.key != 0; }
+  // A class that has come to keep an order binds its open requests too: what comes next waits for them.
+  void OrderOpen(const std::vector<int>& like) {
+    std::set<RequestId> open;  // in the order in which they were taken
+    for (auto& [id, q] : queries_) {
+      for (std::size_t i = 0; i < like.size() && q.in.key != 0; ++i)
+        q.ordered = q.ordered || (set_.classes[i].in_order && like[i] == q.in.klass);
+      if (q.ordered) open.insert(id);
+    }
+    for (auto& [key, line] : keys_) line.order.clear();
+    for (RequestId id : open) keys_[queries_.at(id).in.key].order.push_back(id);
+    for (RequestId id : open) {
+      Query& q = queries_.at(id);
+      if (q.where == Where::kHeld) Unhold(q);
+      if (q.where == Where::kHeld || q.where == Where::kInLine) Enter(q);
+    }
+  }
 
   void Enter(Query& q) {
-    if (!Ordered(q)) return Hold(q);
+    if (!q.ordered) return Hold(q);
     q.where = Where::kInLine;
     Schedule(q, GiveUpAt(q));
     AdvanceKey(q.in.key);
@@ -442,7 +464,7 @@
   }
 
   void LeaveKey(const Query& q) {
-    if (!Ordered(q)) return;
+    if (!q.ordered) return;
     auto it = keys_.find(q.in.key);
     if (it == keys_.end()) return;
     std::erase(it->second.order, q.in.id);
@@ -472,8 +494,8 @@
   // Without credit a heavy query needs an engine seen to be idle, or, with no reports, a fleet at its best.
   bool MayAfford(const Query& q, const Engine& e) const {
     if (credit_ > 0 || Class(q).holds_tables) return true;
-    if (set_.report_fields.empty()) return fleet_latency_ < kFleetPressed;
-    if (!Fresh(e)) return set_.may_probe;  // it will be asked first
+    if (!promise_.promised() || e.load.Silent()) return fleet_latency_ < kFleetPressed;
+    if (!e.load.Fresh(now_)) return set_.may_probe;  // it will be asked first
     return Level(e) + q.threads <= kIdleLevel * e.cores;
   }
 
@@ -520,12 +542,7 @@
   // Budget of further attempts, and the window in which a keyed request's repeats are discarded.
   bool MaySendAgain(const Query& q) {
     if (q.sent == 0 || !set_.attempt_budget) return true;
-    const AttemptBudget& budget = *set_.attempt_budget;
-    const Nanos from = now_ - budget.look_back;
-    while (!further_.empty() && further_.front() <= from - kBeat) further_.pop_front();
-    while (!taken_.empty() && taken_.front() <= from) taken_.pop_front();
-    const double allowed = budget.free / beside_ + budget.ratio * static_cast<double>(taken_.size());
-    return static_cast<double>(further_.size()) + 1 <= allowed;
+    return retries_.Allows(*set_.attempt_budget, beside_, kBeat, now_);
   }
 
   bool RepeatSafe(const Query& q) const { return now_ <= RepeatUntil(q); }
@@ -537,19 +554,9 @@
   }
 
   bool Allowed(const Query& q, const Engine& e) const {
-    const ClassSettings& c = Class(q);
-    auto within = [](const std::vector<std::uint16_t>& places, std::uint16_t place) {
-      return places.empty() || std::find(places.begin(), places.end(), place) != places.end();
-    };
-    if (!within(c.zones, e.entry.zone) || !within(c.kinds, e.entry.kind)) return false;
-    if (c.effect == Effect::kKeyed && q.maybe_ran_at >= 0 && c.group != RepeatGroup::kAll) {
-      auto it = engines_.find(q.maybe_engine);
-      if (it == engines_.end()) return false;
-      const EngineEntry& ran = it->second.entry;
-      if (c.group == RepeatGroup::kZone && ran.zone != e.entry.zone) return false;
-      if (c.group == RepeatGroup::kCell && ran.cell != e.entry.cell) return false;
-    }
-    return true;
+    if (!limits::PlacementAllows(Class(q), e.entry)) return false;
+    if (Class(q).effect != Effect::kKeyed || q.maybe_ran_at < 0) return true;
+    return limits::SharesRepeats(Class(q).group, q.maybe_engine, e.entry);
   }
 
   // An engine started lately gets a budget of work for every fall window, and this gateway its part of the
@@ -578,38 +585,30 @@
   }
 
   double ColdRate(const Engine& e) const {
-    const double age = Seconds(now_ - e.entry.started_at);
-    const double grown = std::clamp(age / std::max(0.1, Seconds(set_.warm_within)), 0.0, 1.0);
-    const double share = set_.cold_from + (1 - set_.cold_from) * grown;
-    return kColdSafety * set_.overload_multiple * share * e.cores;
+    return kColdSafety * set_.overload_multiple * limits::ColdShare(set_, now_ - e.entry.started_at) *
+           e.cores;
   }
 
-  // Of a budget b, queries of work w that come by chance may use x b: x + z sqrt(x w / b) = 1. None counts as
-  // less than its class, since the lightest leave first; a mean of costs never told is a guess.
+  // None counts as less than its class: the lightest leave first. A mean of costs never told is a guess.
   double ColdCharge(const Engine& e, const Query& q) {
     const double work = std::max(q.work, Stats(q).work) * (set_.tells_cost || Light(q) ? 1 : kUntold);
-    const double budget = std::max(1e-6, ColdRate(e) * Seconds(set_.fall_window));
-    const double spread = kColdDeviations * kColdDeviations * work / budget;
-    const double root = (std::sqrt(spread + 4) - std::sqrt(spread)) / 2;
-    return work / (root * root);
+    return limits::ChanceCharge(work, ColdRate(e) * Seconds(set_.fall_window), kColdDeviations);
   }
 
-  bool Fresh(const Engine& e) const { return e.report_at >= 0 && now_ - e.report_at < kReportFresh; }
-
   bool Pressed(const Engine& e, const Query& q) {
     return e.latency > kPressureLatency || Level(e) + q.threads > kSeedFactor * e.cores;
   }
 
   // Heavy queries leave some memory to the light ones, which would else stand in line behind them or spill.
   bool MemoryRoom(const Engine& e, const Query& q) {
-    const double others = Fresh(e) ? e.others * mean_memory_ : 0;
+    const double others = e.load.Fresh(now_) ? e.load.others() * mean_memory_ : 0;
     if (e.runs.empty() && others == 0) return true;
     return e.memory <= 0 || e.granted + others + Need(q) <= kMemoryFill * e.memory;
   }
 
   // Threads at an engine, those of other gateways' queries as reported counted like our own mean query's.
   double Level(const Engine& e) const {
-    return e.threads[0] + e.threads[1] + (Fresh(e) ? e.others * mean_threads_ : 0);
+    return e.threads[0] + e.threads[1] + (e.load.Fresh(now_) ? e.load.others() * mean_threads_ : 0);
   }
 
   // How much slower the engine answers than the fleet: so that a slow engine's bound doesn't stay high.
@@ -658,30 +657,33 @@
   }
 
   // Heavy queries go where a fresh report tells of the load; engines are probed where answers bring too few.
+  // One that doesn't report, though the settings promise it, is taken as it is, and asked now and then.
   bool Inform(std::vector<Engine*>& able) {
-    if (!set_.may_probe || set_.report_fields.empty()) return true;
-    std::vector<Engine*> unknown;
-    std::erase_if(able, [&](Engine* e) {
-      if (!Fresh(*e)) unknown.push_back(e);
-      return !Fresh(*e);
-    });
-    if (able.size() < kProbed && !unknown.empty() && now_ >= probe_at_) {
-      probe_at_ = now_ + kProbeBeat;
-      out_->push_back(Probe{unknown[Pick(unknown.size())]->entry.engine});
-    }
+    if (!set_.may_probe || !promise_.promised()) return true;
+    std::vector<Engine*> unknown, silent;
+    for (Engine* e : able)
+      if (!e->load.Fresh(now_)) (e->load.Silent() ? silent : unknown).push_back(e);
+    std::erase_if(able, [&](const Engine* e) { return !e->load.Fresh(now_) && !e->load.Silent(); });
+    if (able.size() < kProbed && !unknown.empty()) Ask(unknown, probe_at_, kProbeBeat);
+    if (!silent.empty() && !promise_.in_answers) Ask(silent, silent_at_, kSilentBeat);
     return !able.empty();
   }
 
+  void Ask(const std::vector<Engine*>& engines, Nanos& due, Nanos beat) {
+    if (now_ < due) return;
+    due = now_ + beat;
+    out_->push_back(Probe{engines[Pick(engines.size())]->entry.engine});
+  }
+
   void On(const Probed& probed) {
     auto it = engines_.find(probed.engine);
-    if (it != engines_.end() && probed.outcome == Outcome::kOk) TakeReport(it->second, probed.load);
+    if (it != engines_.end()) TakeReport(it->second, probed.load, true);
   }
 
   std::size_t Pick(std::size_t n) { return std::min(n - 1, static_cast<std::size_t>(Random() * n)); }
 
   // All gateways rank the engines alike for a table group, by rendezvous hashing (Thaler and Ravishankar
-  // 1998). The first are its home, kept warm by readers; the last take its loads, which no other gateway
-  // sees.
+  // 1998). The first are its home, kept warm by readers; the last take its loads, unseen by other gateways.
   void RankFor(const Query& q, std::vector<Engine*>& able) {
     std::vector<EngineId> ranks;
     for (auto& [id, e] : engines_)
@@ -713,9 +715,8 @@
       running += r.work * std::max(0.3, 1 - progress);
       overdue += progress > kOverdue;
     }
-    running += (Fresh(e) ? e.others : others_mean_) * mean_run_;
-    const bool warm = std::find(e.warm.begin(), e.warm.end(), q.in.tables) != e.warm.end() ||
-                      (e.rank < kHomes && !Class(q).holds_tables);
+    running += (e.load.Fresh(now_) ? e.load.others() : others_mean_) * mean_run_;
+    const bool warm = e.warm.Holds(q.in.tables) || (e.rank < kHomes && !Class(q).holds_tables);
     double own = q.work / q.threads * (warm ? 1 - kWarmGain : 1);
     // Overdue attempts tell of a sick engine before its answers do; one that hangs some answers others fast.
     const double hangs = Light(q) ? 0 : kHungCost * std::max(0.0, e.hung - fleet_hung_ - kHungNoise);
@@ -733,7 +734,7 @@
     const int priority = !set_.priorities_heeded ? 1 : q.late ? 0 : Light(q) ? 3 : 2;
     if (q.grant > 0 || priority != 1) out_->push_back(Terms{q.in.id, priority, q.grant});
     out_->push_back(Send{q.in.id, e.entry.engine, 0, RepeatUntil(q)});
-    if (q.sent > 0) further_.push_back(now_);
+    if (q.sent > 0 && set_.attempt_budget) retries_.Retried(now_);
     ++q.sent;
     q.out = true;
     q.cancelled = false;
@@ -747,9 +748,7 @@
     e.threads[q.lane] += q.threads;
     e.granted += need;
     if (Cold(e)) e.cold_credit -= ColdCharge(e, q);
-    std::erase(e.warm, q.in.tables);
-    e.warm.push_front(q.in.tables);
-    if (e.warm.size() > kWarmGroups) e.warm.pop_back();
+    e.warm.Read(q.in.tables);
     q.where = Where::kOut;
     q.due = 0;
     CheckRunning(q);
@@ -832,12 +831,15 @@
     if (it == queries_.end() || !it->second.out || end.attempt != it->second.sent - 1) return;
     Query& q = it->second;
     q.out = false;
-    if (auto e = engines_.find(q.engine); e != engines_.end()) Settle(q, e->second, end);
     const Outcome how = end.outcome;
     const bool ran = how != Outcome::kFull && how != Outcome::kConnectFailed && how != Outcome::kMoot;
+    if (auto e = engines_.find(q.engine); e != engines_.end()) {
+      Settle(q, e->second, end);
+      if (ran && q.maybe_ran_at < 0) q.maybe_engine = e->second.entry;
+    }
+    if (ran && q.maybe_ran_at < 0) q.maybe_ran_at = q.sent_at;
     const bool unknown = ran && how != Outcome::kOk && how != Outcome::kError;
-    if (unknown && Ordered(q)) keys_[q.in.key].rest_until = now_ + set_.order_settle;
-    if (ran && q.maybe_ran_at < 0) q.maybe_ran_at = q.sent_at, q.maybe_engine = q.engine;
+    if (unknown && q.ordered) keys_[q.in.key].rest_until = now_ + set_.order_settle;
     if (end.finished || q.where == Where::kDone) return Forget(q);
     // Another attempt, or the final answer at once.
     const bool in_time = now_ < q.deadline - kAnswerMargin - ToNanos(q.work / q.threads);
@@ -858,8 +860,8 @@
     Blend(mean_run_, q.work / 2, weight);
     Blend(mean_threads_, q.threads, weight);
     Blend(mean_memory_, q.grant, weight);
-    TakeReport(e, end.load);
     const Outcome how = end.outcome;
+    TakeReport(e, end.load, promise_.in_answers && how == Outcome::kOk);
     if (how == Outcome::kOk) Served(q, e, end), Blame(q);
     if (how == Outcome::kFull)
       e.period.full = true, e.ejected_until = std::max(e.ejected_until, now_ + kFullFor);
@@ -873,15 +875,11 @@
     if (how == Outcome::kConnectFailed || how == Outcome::kReset) Failed(e, kBrokenWeight);
   }
 
-  void TakeReport(Engine& e, const LoadReport& load) {
-    for (std::size_t i = 0; i < load.count && i < set_.report_fields.size(); ++i) {
-      const double value = load.values[i];
-      if (set_.report_fields[i] == ReportField::kInflight) {
-        e.others = std::max(0.0, value - static_cast<double>(e.runs.size()));
-        Blend(others_mean_, e.others, kFast);
-      }
-      e.report_at = now_;
-    }
+  void TakeReport(Engine& e, const LoadReport& load, bool due) {
+    if (e.load.Take(promise_, load, static_cast<double>(e.runs.size()), now_))
+      Blend(others_mean_, e.load.others(), kFast);
+    else if (due)
+      e.load.Missed();
   }
 
   void Served(Query& q, Engine& e, const AttemptEnded& end) {
@@ -1021,7 +1019,7 @@
   std::priority_queue<Check, std::vector<Check>, std::greater<>> checks_;
   std::vector<ClassStats> stats_;
   std::vector<limits::TokenBucket> tenants_;
-  std::deque<Nanos> taken_, further_;
+  limits::RetryBudget retries_;
   double fleet_latency_ = 1, fleet_hung_ = 0, others_mean_ = 0, mean_run_ = 0.1, mean_threads_ = 1,
          mean_memory_ = 0;
   bool held_seen_ = false, aim_missed_ = false, loads_block_ = false;
@@ -1031,7 +1029,9 @@
   int beside_ = 1;                    // parts that the budgets of this gateway are divided by
   std::optional<Siblings> siblings_;  // none: what the settings tell
   int sharers_ = 1;                   // gateways that have one engine in their subsets, at the most
-  Nanos probe_at_ = -kSecond, flags_at_ = 0, wake_at_ = -1, born_ = -1;  // born_: the first step
+  reports::Promise promise_;
+  Nanos probe_at_ = -kSecond, silent_at_ = -kSecond, flags_at_ = 0, wake_at_ = -1,
+        born_ = -1;  // born_: the first step
 };
 
 Gateway::Gateway(Settings settings, std::uint64_t seed)
--- /dev/null
+++ b/src/limits/placement.h
@@ -0,0 +1,39 @@
+// Where a request may run: the zones and kinds of machine that its class is bound to, and the engines that
+// discard its repeats.
+//
+// Contract. Pure functions. Errors: none.
+#ifndef LEMONCROFT_LIMITS_PLACEMENT_H_
+#define LEMONCROFT_LIMITS_PLACEMENT_H_
+
+#include <algorithm>
+#include <cstdint>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+
+namespace lemoncroft::limits {
+
+// Whether requests of the class may run on the engine; a class without zones or kinds isn't bound by them.
+inline bool PlacementAllows(const ClassSettings& settings, const EngineEntry& engine) {
+  const auto within = [](const std::vector<std::uint16_t>& places, std::uint16_t place) {
+    return places.empty() || std::find(places.begin(), places.end(), place) != places.end();
+  };
+  return within(settings.zones, engine.zone) && within(settings.kinds, engine.kind);
+}
+
+// Whether `engine` discards repeats of what may have run on `ran`.
+inline bool SharesRepeats(RepeatGroup group, const EngineEntry& ran, const EngineEntry& engine) {
+  switch (group) {
+    case RepeatGroup::kAll:
+      return true;
+    case RepeatGroup::kZone:
+      return ran.zone == engine.zone;
+    case RepeatGroup::kCell:
+      return ran.cell == engine.cell;
+  }
+  return false;
+}
+
+}  // namespace lemoncroft::limits
+
+#endif  // LEMONCROFT_LIMITS_PLACEMENT_H_
--- a/src/operator/operator_file.cpp
+++ b/src/operator/operator_file.cpp
@@ -121,6 +121,7 @@
   };
   if (!node.arguments.empty() || !node.properties.empty())
     faults.Add(node.place, "waiting takes a block only");
+  if (!site.HasTenants()) faults.Add(node.place, "waiting divides work among tenants, and the site has none");
   ReadBlock(node.children, known, {"class", "team"}, faults);
   for (std::size_t i = 0; i < site.tenants.size(); ++i) {
     if (!given.contains(i) && !site.tenants[i].empty())
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -190,7 +190,9 @@
     site.tenants.push_back(in.Text(p + "name"));
   }
   s.over_share_worth = in.Number("overShareWorth", 1);
-  for (const std::string& field : in.List("report.fields")) s.report_fields.push_back(ToField(field));
+  site.report_fields = in.List("report.fields");
+  for (const std::string& field : site.report_fields) s.report_fields.push_back(ToField(field));
+  s.reports_in_answers = in.Text("report.source") == "answers";
 
   s.drain_grace = in.Time("guarantees.drainGraceNs");
   s.cold_from = in.Number("guarantees.coldFrom");
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -66,6 +66,7 @@
   Settings module;
   // Names, by index; empty: a class or tenant that is no more and whose last requests are under way.
   std::vector<std::string> classes, tenants, zones, kinds;
+  std::vector<std::string> report_fields;  // of Settings::report_fields, in the same order
   Nanos answer_slack = 0;
   Nanos keepalive = 0;        // engines close idle connections after this
   std::size_t per_class = 0;  // classes for which every list of values by class has one
@@ -73,7 +74,13 @@
 
   // A class or tenant by its name; none where no request may come with it any more.
   std::optional<std::uint16_t> ClassOf(std::string_view name) const { return Place(classes, name); }
-  std::optional<std::uint16_t> TenantOf(std::string_view name) const { return Place(tenants, name); }
+  // On a site without tenants every request belongs to kNoTenant, whatever tenant it names.
+  std::optional<std::uint16_t> TenantOf(std::string_view name) const {
+    return HasTenants() ? Place(tenants, name) : std::optional(kNoTenant);
+  }
+  bool HasTenants() const {
+    return std::any_of(tenants.begin(), tenants.end(), [](const auto& name) { return !name.empty(); });
+  }
 
  private:
   static std::optional<std::uint16_t> Place(const std::vector<std::string>& names, std::string_view name);
--- /dev/null
+++ b/src/subset/warm_tables.h
@@ -0,0 +1,34 @@
+// The table groups that an engine is assumed to hold warm: those that it has read last.
+//
+// Contract. No clock, no I/O. Errors: none.
+#ifndef LEMONCROFT_SUBSET_WARM_TABLES_H_
+#define LEMONCROFT_SUBSET_WARM_TABLES_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+
+namespace lemoncroft::subset {
+
+class WarmTables {
+ public:
+  // A query on this group goes to the engine; the group read longest ago gives way.
+  void Read(std::uint32_t group) {
+    std::erase(groups_, group);
+    groups_.push_front(group);
+    if (groups_.size() > kGroupsMost) groups_.pop_back();
+  }
+  bool Holds(std::uint32_t group) const {
+    return std::find(groups_.begin(), groups_.end(), group) != groups_.end();
+  }
+
+ private:
+  static constexpr std::size_t kGroupsMost = 4;  // assumed to fit into an engine's memory
+
+  std::deque<std::uint32_t> groups_;  // newest first
+};
+
+}  // namespace lemoncroft::subset
+
+#endif  // LEMONCROFT_SUBSET_WARM_TABLES_H_
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -112,6 +112,7 @@
   s.max_come_back = 2 * kSecond;
   s.max_attempts = 3;
   s.report_fields = {ReportField::kInflight, ReportField::kUtil};
+  s.reports_in_answers = true;
   return s;
 }
 
