Move what answers teach about a class into src/estimates

No change of behaviour: the regression of work on its estimate, the pace and the memory of a class (ClassStats, Believed, LearnWork and the class part of Served) leave src/gateway.cpp for a module of their own, with tests.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -14,6 +14,7 @@
 #include <unordered_map>
 #include <utility>
 
+#include "estimates/class_estimates.h"
 #include "limits/cold_budget.h"
 #include "limits/placement.h"
 #include "limits/retry_budget.h"
@@ -25,6 +26,9 @@
 namespace lemoncroft {
 namespace {
 
+using estimates::Blend;
+using estimates::ClassEstimates;
+
 constexpr Nanos kMs = 1'000'000;
 constexpr Nanos kSecond = 1000 * kMs;
 
@@ -51,12 +55,8 @@
 constexpr Nanos kProbeBeat = 250 * kMs;   // one probe for each, with heavy queries held: more would herd
 constexpr Nanos kSilentBeat = 20 * kProbeBeat;  // likewise, of engines that have told nothing so far
 // Learning: weight of the newest sample in a mean.
-constexpr double kFast = 0.1;          // an engine's latency: some ten answers
-constexpr double kOutlier = 3;         // times the mean: a sample counts as no more
-constexpr double kSlow = 0.03;         // class means: outlast bursts
-constexpr double kBestCreep = 1.001;   // a sample: forgets a best that no longer exists
-constexpr int kFewAnswers = 20;        // fewer don't make a mean to call best
-constexpr double kMemoryMargin = 1.5;  // mean errors over the mean: a spill costs more than slack
+constexpr double kFast = 0.1;   // an engine's latency: some ten answers
+constexpr double kSlow = 0.03;  // the mix of what runs: outlasts bursts
 // Health.
 constexpr double kErrorEject = 0.25;         // share of recent attempts that failed
 constexpr double kErrorWeight = 0.15;        // weight of the newest outcome in it: two failures eject
@@ -100,7 +100,6 @@
 
 double Seconds(Nanos t) { return static_cast<double>(t) / kSecond; }
 Nanos ToNanos(double s) { return static_cast<Nanos>(std::clamp(s, 0.0, 1e8) * kSecond); }
-void Blend(double& mean, double sample, double weight) { mean += weight * (sample - mean); }
 
 struct Period {
   double work = 0, latency = 0;  // sums over its answers
@@ -141,19 +140,6 @@
   std::size_t rank = 0;             // for the table group of the query being placed
 };
 
-struct ClassStats {
-  // Regression of the log of true work on that of its estimate: means, variance, covariance.
-  double est_mean = 0, true_mean = 0, est_var = 0.5, cov = 0.5;
-  double deviation = 0.5;  // mean error of the log
-  int told = 0;
-  double work = 0;                        // mean, thread seconds
-  double fast = 0;                        // recent mean of time x threads (over work, where told)
-  double best = 0;                        // least recent mean seen
-  double memory = 0, memory_error = 0.2;  // log of memory needed over its estimate: mean, mean error
-  int memory_told = 0;
-  int answers = 0;
-};
-
 enum class Where { kHeld, kInLine, kOut, kDone };  // kInLine: waits for its key's turn
 
 struct Query {
@@ -219,7 +205,7 @@
 
  private:
   const ClassSettings& Class(const Query& q) const { return set_.classes[q.in.klass]; }
-  ClassStats& Stats(const Query& q) { return stats_[q.in.klass]; }
+  const ClassEstimates& Estimates(const Query& q) const { return estimates_[q.in.klass]; }
   double Random() { return static_cast<double>(random_() >> 11) * 0x1.0p-53; }
 
   // ---- Settings ----
@@ -229,14 +215,14 @@
     promise_ = reports::Promise::Of(set_);
     tenants_.resize(set_.tenants.size());
     loads_block_ = false;
-    const std::vector<ClassStats> before = std::exchange(stats_, {});
+    const std::vector<ClassEstimates> before = std::exchange(estimates_, {});
     for (std::size_t i = 0; i < set_.classes.size(); ++i) {
       const ClassSettings& c = set_.classes[i];
       loads_block_ = loads_block_ || c.blocked_by_loads;
       const std::size_t from =
           i < like.size() && like[i] >= 0 ? static_cast<std::size_t>(like[i]) : before.size();
-      stats_.push_back(from < before.size() ? before[from] : ClassStats());
-      if (from >= before.size()) stats_[i].work = Seconds(c.aim) / 3 * c.threads;  // an aim leaves some room
+      const ClassEstimates unknown(Seconds(c.aim) / 3 * c.threads);  // an aim leaves some room
+      estimates_.push_back(from < before.size() ? before[from] : unknown);
     }
   }
 
@@ -330,9 +316,8 @@
     Query& q = queries_[request.id];
     q.in = request;
     const ClassSettings& c = Class(q);
-    ClassStats& s = Stats(q);
     q.threads = c.threads;
-    q.work = std::max(1e-4, request.est_work > 0 ? Believed(s, Seconds(request.est_work)) : s.work);
+    q.work = std::max(1e-4, Estimates(q).Work(Seconds(request.est_work)));
     q.aim_at = now_ + c.aim + ToNanos(c.aim_stretch * q.work / q.threads);
     q.deadline = now_ + request.patience;
     q.worth = c.worth * (OverShare(request) ? set_.over_share_worth : 1);
@@ -344,25 +329,6 @@
     Enter(q);
   }
 
-  // Estimates lie by class and scatter: what past answers make of one. Scatter draws it towards the mean.
-  static double Believed(const ClassStats& s, double estimate) {
-    return std::exp(s.true_mean + s.cov / s.est_var * (std::log(estimate) - s.est_mean));
-  }
-
-  static void LearnWork(ClassStats& s, double estimate, double told) {
-    const double weight = std::max(kSlow, 1.0 / (++s.told + 3));
-    const double x = std::log(estimate), y = std::log(told);
-    Blend(s.deviation, std::abs(y - std::log(Believed(s, estimate))), weight);
-    const double dx = x - s.est_mean, dy = y - s.true_mean;
-    if (s.told == 1) s.est_mean = x, s.true_mean = y;
-    Blend(s.est_mean, x, weight);
-    Blend(s.true_mean, y, weight);
-    if (s.told == 1) return;
-    Blend(s.est_var, dx * dx, weight);
-    Blend(s.cov, dx * dy, weight);
-    s.cov = std::clamp(s.cov, 0.2 * s.est_var, s.est_var);
-  }
-
   // Tenants: each has a token bucket of its quota times this gateway's part of the fleet's usual traffic.
   bool OverShare(const Request& request) {
     if (request.tenant >= tenants_.size() || set_.tenants[request.tenant].quota_per_s <= 0) return false;
@@ -480,7 +446,7 @@
     double cores = 0, near = 0;
     for (const auto& [id, e] : engines_) cores += e.listed ? e.cores : 0, near += e.near ? e.cores : 0;
     heaviest_ = 0;
-    for (const ClassStats& s : stats_) heaviest_ = std::max(heaviest_, s.work);
+    for (const ClassEstimates& c : estimates_) heaviest_ = std::max(heaviest_, c.mean_work());
     demand_ *= std::exp(-seconds / kDemandMemory);
     if (!earning_) demand_ = kUsualLoad * cores / set_.gateways;
     // In an overload demands, clients' repeats among them, add up to more than the fleet; slow answers tell.
@@ -591,7 +557,8 @@
 
   // None counts as less than its class: the lightest leave first. A mean of costs never told is a guess.
   double ColdCharge(const Engine& e, const Query& q) {
-    const double work = std::max(q.work, Stats(q).work) * (set_.tells_cost || Light(q) ? 1 : kUntold);
+    const double work =
+        std::max(q.work, Estimates(q).mean_work()) * (set_.tells_cost || Light(q) ? 1 : kUntold);
     return limits::ChanceCharge(work, ColdRate(e) * Seconds(set_.fall_window), kColdDeviations);
   }
 
@@ -628,7 +595,7 @@
   }
 
   // Light classes are counted apart, so that a few long queries don't shut out the many short ones.
-  bool Light(const Query& q) { return Stats(q).work <= kLight * heaviest_; }
+  bool Light(const Query& q) { return Estimates(q).mean_work() <= kLight * heaviest_; }
 
   // The lighter of two random eligible engines, joined by the home of the query's table group.
   Engine* Choose(const Query& q) {
@@ -723,10 +690,7 @@
     return (running / e.cores + own) / Speed(e) * (1 + overdue + hangs);
   }
 
-  double Need(const Query& q) {
-    const ClassStats& s = Stats(q);
-    return q.in.est_memory_mb * std::exp(s.memory + kMemoryMargin * s.memory_error);
-  }
+  double Need(const Query& q) const { return Estimates(q).MemoryMb(q.in.est_memory_mb); }
 
   void Dispatch(Query& q, Engine& e) {
     const double need = Need(q);
@@ -758,19 +722,17 @@
 
   // How long an attempt should take at the fleet's present pace.
   double ExpectedSeconds(const Query& q) const {
-    const ClassStats& s = stats_[q.in.klass];
-    if (s.answers == 0) return q.work / q.threads;
-    const double work = set_.tells_cost ? q.work : q.work / std::max(1e-6, s.work);
-    return s.fast * work / q.threads;
+    return Estimates(q).Time(q.work, set_.tells_cost) / q.threads;
   }
 
   Nanos RunawayAfter(const Query& q) {
     if (!set_.may_cancel || !MayRepeat(q) || (set_.progress_every > 0 && !Light(q))) return 0;
-    const double most = Light(q) ? kRunawayLight : kRunawayMost, spread = kRunawaySpread * Stats(q).deviation;
+    const double most = Light(q) ? kRunawayLight : kRunawayMost,
+                 spread = kRunawaySpread * Estimates(q).deviation();
     const double times = std::clamp(1.5 * std::exp(spread), kRunawayLeast, most);
     if (Class(q).effect != Effect::kKeyed) return ToNanos(ExpectedSeconds(q) * times);
     const auto e = engines_.find(q.engine);  // a cold one has a pace of its own
-    const bool known = Stats(q).answers >= kFewAnswers && e != engines_.end() && !Cold(e->second);
+    const bool known = Estimates(q).known() && e != engines_.end() && !Cold(e->second);
     const double keyed = known ? std::max(times, kRunawayKeyed) : HUGE_VAL;
     const Nanos last = LastRepeat(q) - q.sent_at;  // what is expected to last longer isn't called off there
     return ToNanos(ExpectedSeconds(q)) > last ? 0 : std::min(ToNanos(ExpectedSeconds(q) * keyed), last);
@@ -885,29 +847,17 @@
   void Served(Query& q, Engine& e, const AttemptEnded& end) {
     Blend(e.errors, 0, kErrorWeight);
     if (e.errors < kErrorEject / 2) e.backoff = kBackoff;
-    ClassStats& s = Stats(q);
     const double told = Seconds(end.work);
-    if (told > 0) {
-      if (q.in.est_work > 0) LearnWork(s, Seconds(q.in.est_work), told);
-      Blend(s.work, told, std::max(kSlow, 1.0 / (s.answers + 2)));
-    }
-    const double stretch = Seconds(end.waited) * q.threads / (told > 0 ? std::max(told, 1e-3) : 1);
-    if (s.answers == 0) s.fast = told > 0 ? stretch : s.work;
-    // A hung one tells nothing of the pace; a mean of few is no best.
-    Blend(s.fast, std::min(stretch, kOutlier * s.fast), std::max(kFast / 2, 1.0 / (++s.answers + 2)));
-    s.best = s.answers < kFewAnswers ? s.fast : std::min(s.best * kBestCreep, s.fast);
-    if (told <= 0) s.work = s.best;
-    const double ratio = stretch / std::max(s.best, 1e-6);
+    const double ratio = estimates_[q.in.klass].Learn({.estimated_work = Seconds(q.in.est_work),
+                                                       .told_work = told,
+                                                       .time = Seconds(end.waited) * q.threads,
+                                                       .estimated_memory_mb = q.in.est_memory_mb,
+                                                       .told_memory_mb = end.memory_mb});
     Blend(e.latency, std::min(ratio, 20.0), std::max(kFast, 1.0 / (++e.samples + 3)));
     Blend(fleet_latency_, std::min(ratio, 20.0), kFast);
     e.period.work += told > 0 ? told : q.work;
     e.period.latency += ratio;
     ++e.period.count;
-    if (end.memory_mb <= 0 || q.in.est_memory_mb <= 0) return;
-    const double off = std::log(end.memory_mb / q.in.est_memory_mb) - s.memory;
-    const double weight = std::max(kSlow, 1.0 / (++s.memory_told + 2));
-    s.memory += weight * off;
-    Blend(s.memory_error, std::abs(off), weight);
   }
 
   // An error is the engine's only where another serves the query: what no engine can use must eject none.
@@ -1017,7 +967,7 @@
   std::set<std::pair<Nanos, std::uint64_t>> resting_;
   using Check = std::pair<Nanos, RequestId>;
   std::priority_queue<Check, std::vector<Check>, std::greater<>> checks_;
-  std::vector<ClassStats> stats_;
+  std::vector<ClassEstimates> estimates_;
   std::vector<limits::TokenBucket> tenants_;
   limits::RetryBudget retries_;
   double fleet_latency_ = 1, fleet_hung_ = 0, others_mean_ = 0, mean_run_ = 0.1, mean_threads_ = 1,
