End an attempt only once it surely runs no more, where no other may run beside it

The query ran on at its engine beside the next attempt. Ruled out: the module (it has one attempt out, and holds a key until the attempt's end is told).

Change: an exclusive attempt ends when the engine has answered its DELETE, when the engine that broke its connection refuses another, or 2.1 s after it was last asked for: the protocol has engines end a query that nobody asks for within 2 s. The final answer doesn't wait for that: the broker tells the module DeadlineReached.

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -224,11 +224,16 @@
   int place = 0;
 };
 
+// The client's patience has run out: the request gets its final answer, whatever still runs of it.
+struct DeadlineReached {
+  RequestId id = 0;
+};
+
 // The process is about to be ended: what has no answer yet gets it now.
 struct Closing {};
 
 using Event = std::variant<Retuned, Beside, Siblings, Closing, EngineList, Request, AttemptEnded,
-                           StreamStarted, ClientGone, Note, Probed, PeerMessage, TimerFired>;
+                           StreamStarted, ClientGone, DeadlineReached, Note, Probed, PeerMessage, TimerFired>;
 
 // ---- Actions: to be carried out in the order given, at the time of the step ----
 
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -24,6 +24,9 @@
 constexpr int kAsks = 4;             // of one question: a query that is not asked for ends after 2 s
 constexpr int kConnects = 2;         // that may break before a byte has gone, other than idle ones
 constexpr auto kWithoutLease = 10ms;
+// An engine ends a query that nobody has asked for within this time; the margin is for what was under way.
+constexpr auto kUnaskedFor = 2000ms, kUnaskedMargin = 100ms;
+constexpr auto kWithdrawPauseLeast = 50ms, kWithdrawPauseMost = 400ms;  // between tries; doubles with each
 constexpr auto kLinger = 400ms;  // for the answer to a question that no longer matters
 constexpr int kPagesMost = 256;
 constexpr std::size_t kPageMost = 6000;
@@ -78,15 +81,19 @@
   Lease lease;
   codec::HttpResponse response;
   Result result;
-  bool lost = false;  // an answer about it has been lost: what the engine knows of it is in doubt
+  bool lost = false;      // an answer about it has been lost: what the engine knows of it is in doubt
+  bool reset = false;     // a connection about it ended under it
+  bool over = false;      // the engine has told its end
+  runtime::Time asked{};  // when a call that keeps it running was last under way
 
   runtime::Time Limit(runtime::Span within) const { return std::min(attempt.deadline, Now() + within); }
 };
 
 Task<Result> Engines::Run(const Attempt& attempt, runtime::Cancellation& cancel) {
-  Query query{attempt, cancel, {}, {}, {}};
+  Query query{.attempt = attempt, .cancel = cancel, .lease = {}, .response = {}, .result = {}};
   Outcome outcome = co_await Start(query);
   if (outcome == Outcome::kOk) outcome = co_await Follow(query);
+  query.over = outcome == Outcome::kOk;
   if (outcome == Outcome::kOk) outcome = co_await FetchPages(query);
   query.result.outcome = outcome;
   const std::string& id = attempt.passed->id;
@@ -95,7 +102,10 @@
   // none; after a reset there is no engine to tell.
   const bool may_run =
       outcome == Outcome::kCancelled || outcome == Outcome::kTimeout || outcome == Outcome::kLost;
-  if (may_run && Now() >= attempt.deadline) {
+  const bool in_doubt = (may_run || outcome == Outcome::kReset) && !query.over;
+  if (in_doubt && attempt.exclusive) {
+    co_await Withdraw(query);
+  } else if (may_run && Now() >= attempt.deadline) {
     loop_.Spawn(Order(attempt.engine, "DELETE", id, {}));
   } else if (may_run) {
     co_await Order(attempt.engine, "DELETE", id, {});
@@ -137,6 +147,7 @@
     post.headers.emplace_back("Pool-Rank", std::to_string(attempt.priority));
     post.body = passed.statement;
     const runtime::Time until = query.Limit(kNewsWithin);
+    query.asked = Now();
     Io io = co_await query.lease->Send(post, std::min(until, attempt.not_after), &query.cancel);
     if (io == Io::kOk) {
       counters_.Tried();
@@ -147,6 +158,8 @@
       co_return Outcome::kOk;
     }
     if (io == Io::kOk || query.lease->sent_any()) {
+      query.reset = query.reset || io == Io::kClosed;
+      query.asked = Now();
       if (io == Io::kCancelled) co_return Outcome::kCancelled;
       // It may run although its answer is spoilt, late or lost with its connection: the engine can be asked.
       query.lost = true;
@@ -191,6 +204,8 @@
     }
     const runtime::Span within = page == 0 ? kNewsWithin : kPageWithin * (tries + 1);
     const Io io = co_await query.lease->Call(ask, query.Limit(within), &query.cancel, query.response);
+    query.asked = Now();
+    query.reset = query.reset || io == Io::kClosed;
     if (io == Io::kOk && Fits(*query.lease, query.response, page)) {
       TakeReport(query);
       co_return Outcome::kOk;
@@ -253,7 +268,7 @@
   co_await busy->Receive(Now() + kLinger, nullptr, ignored);
 }
 
-Task<> Engines::Order(EngineId engine, std::string method, std::string id, std::string body) {
+Task<Io> Engines::Call(EngineId engine, std::string method, std::string id, std::string body) {
   struct Counted {
     int& orders;
     explicit Counted(int& of) : orders(of) { ++orders; }
@@ -261,13 +276,31 @@
   } const counted(orders_);
   Lease lease;
   const Io up = co_await pool_.Acquire(engine, Now() + connect_timeout_, nullptr, lease);
-  if (up != Io::kOk) co_return;
+  if (up != Io::kOk) co_return up;
   codec::HttpRequest request;
   request.method = method;
   request.path = PathOf(id);
   request.body = body;
   codec::HttpResponse ignored;
-  co_await lease->Call(request, Now() + connect_timeout_, nullptr, ignored);
+  co_return co_await lease->Call(request, Now() + connect_timeout_, nullptr, ignored);
+}
+
+Task<> Engines::Order(EngineId engine, std::string method, std::string id, std::string body) {
+  co_await Call(engine, std::move(method), std::move(id), std::move(body));
+}
+
+// An engine that answers has taken the order. One whose connection broke and that refuses another has ended,
+// and its queries with it. Of one that says nothing only its own limit on unasked queries is known.
+Task<> Engines::Withdraw(Query& query) {
+  query.lease = Lease();
+  const runtime::Time over = query.asked + kUnaskedFor + kUnaskedMargin;
+  runtime::Span pause = kWithdrawPauseLeast;
+  while (Now() < over) {
+    const Io io = co_await Call(query.attempt.engine, "DELETE", query.attempt.passed->id, {});
+    if (io == Io::kOk || (io == Io::kRefused && query.reset)) co_return;
+    co_await loop_.SleepUntil(std::min(over, Now() + pause));
+    pause = std::min<runtime::Span>(2 * pause, kWithdrawPauseMost);
+  }
 }
 
 void Engines::Reprioritise(EngineId engine, std::string id, int priority) {
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -22,6 +22,9 @@
   double grant_mb = 0;
   int priority = 1;
   bool again = false;  // an attempt before it may have run
+  // It has ended only once it surely runs no more: another attempt, or the next request of its key, must not
+  // run beside it.
+  bool exclusive = false;
 };
 
 struct Result {
@@ -48,7 +51,8 @@
         pool_(loop, directory, limits),
         connect_timeout_(connect_timeout) {}
 
-  // One attempt from connection to last page. Ends by the attempt's deadline, or soon after a cancellation.
+  // One attempt from connection to last page. Ends by the attempt's deadline, or soon after a cancellation;
+  // an exclusive one that its engine doesn't acknowledge to be over ends later by kUnaskedFor and a margin.
   runtime::Task<Result> Run(const Attempt& attempt, runtime::Cancellation& cancel);
   // Gives what runs a new priority; best effort.
   void Reprioritise(EngineId engine, std::string id, int priority);
@@ -73,7 +77,11 @@
   runtime::Task<Outcome> FetchPages(Query& query);
   void TakeReport(Query& query) const;  // of the answer that has just come
   runtime::Task<> Settle(Lease busy);
+  // Sends an order about a query; kOk: the engine has answered it.
+  runtime::Task<runtime::Io> Call(EngineId engine, std::string method, std::string id, std::string body);
   runtime::Task<> Order(EngineId engine, std::string method, std::string id, std::string body);
+  // Gives the query up and returns once it surely runs no more.
+  runtime::Task<> Withdraw(Query& query);
 
   runtime::Loop& loop_;
   const membership::Directory& directory_;
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -3,6 +3,7 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <utility>
 
 namespace lemoncroft::broker {
 
@@ -128,10 +129,11 @@
 // After that, what still runs is given up and its end is told too, since the module waits for it.
 Task<> Broker::Live(LifePtr life) {
   if (!line_) host_.Post(Described(*life));
-  const Time guard = life->request.deadline + kGuard;
+  const Time last_word = life->request.deadline - kLastWord, guard = life->request.deadline + kGuard;
+  bool deadline_told = false;
   const std::string& lane = life->request.passed.lane;
   for (bool answered = false; !answered;) {
-    News news = co_await Next(*life, guard);
+    News news = co_await Next(*life, deadline_told ? guard : last_word);
     answered =
         std::visit(Overloaded{
                        [&](const Terms& terms) {
@@ -187,6 +189,10 @@
                          return true;
                        },
                        [&](const Overdue&) {
+                         if (!std::exchange(deadline_told, true)) {
+                           host_.Post(DeadlineReached{life->id});
+                           return false;
+                         }
                          spdlog::warn("request {}: answered by the guard", life->request.passed.id);
                          Finish(lane, *life->sink, {Verdict::kFailed, {}, {}});
                          host_.Post(ClientGone{life->id});
@@ -239,6 +245,7 @@
   attempt.not_after = host_.ToTime(send.not_after);
   attempt.grant_mb = life->terms.grant_mb;
   attempt.priority = life->terms.priority;
+  attempt.exclusive = !site_->module.may_copy || life->request.order_key != 0;
   attempt.again = std::any_of(life->attempts.begin(), std::prev(life->attempts.end()),
                               [](const auto& a) { return a->ran || a->out; });
   loop_.Spawn(RunAttempt(life, number, attempt));
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -940,6 +940,11 @@
     LeaveKey(gone);
   }
 
+  void On(const DeadlineReached& reached) {
+    auto it = queries_.find(reached.id);
+    if (it != queries_.end() && it->second.where != Where::kDone) Answer(it->second);
+  }
+
   void On(const ClientGone& gone) {
     auto it = queries_.find(gone.id);
     if (it == queries_.end() || it->second.where == Where::kDone) return;
