Say in plain lines what is wrong with settings; refuse only what can't be served

Cause: settings were read key by key and nobody looked at them as a whole. Only check-config and SIGHUP looked at ranges, and stopped at the first one; a start said nothing. What no code reads (membershipMode on_request, notes of progress, streaming, reports that no source brings, misspelt keys) passed in silence. One class bound to a machine kind or zone that the settings don't list made the whole file unreadable, so the proxy didn't start. An engine of an unlisted zone or kind was numbered as the first of the settings' and was sent what is bound to that one.

Change: settings/check.{h,cpp} lists findings as warning (served, and said), error (refused by check-config and SIGHUP; a start, which has no older settings, says so and serves the rest) and fatal (no class that a request could name: a start refuses too). Unlisted zones and kinds get numbers of their own; a class bound to one is served by engines of it. Blanks in zone names are the same in settings and feed. What a change in the feed leaves out stays as it was. A class without an aim has its deadline for one, a connect timeout of 0 is 250 ms, kinds without cores have the least of the others. A site without tenants is good, and a reload may empty a list. A whole list of engines is compared through a set, no longer each with each.

Ruled out: refusing a start for errors. A proxy that doesn't start serves no class at all.

--- a/src/cli/config.cpp
+++ b/src/cli/config.cpp
@@ -1,9 +1,10 @@
 #include "cli/config.h"
 
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <charconv>
 #include <fstream>
-#include <set>
 #include <sstream>
 
 namespace lemoncroft::cli {
@@ -11,12 +12,6 @@
 
 using codec::Json;
 
-constexpr std::size_t kNameMost = 64, kNamesMost = 1024;
-constexpr Nanos kDeadlineMost = 86'400'000'000'000;  // a day: past it, it is no figure
-constexpr Nanos kTickMost = 1'000'000'000;
-constexpr double kFigureMost = 1e9;
-constexpr int kAttemptsMost = 100;
-
 // May come and go with the classes that have them.
 bool IsOptional(const std::string& path) {
   const std::string of_class = "settings.requestClasses[].";
@@ -24,13 +19,6 @@
          path.starts_with(of_class + "boundTo");
 }
 
-// Inside a list's values spaces and commas turn into underscores, as on the simulator's wire.
-std::string ListItem(std::string text) {
-  std::replace_if(
-      text.begin(), text.end(), [](char c) { return c == ' ' || c == ','; }, '_');
-  return text;
-}
-
 void FlattenInto(settings::Pairs& out, const std::string& path, const Json& json) {
   const std::string prefix = path.empty() ? "" : path + ".";
   if (json.Is(Json::Kind::kObject)) {
@@ -49,7 +37,7 @@
     return;
   }
   std::string joined;
-  for (const Json& item : json.items) joined += (joined.empty() ? "" : ",") + ListItem(item.text);
+  for (const Json& item : json.items) joined += (joined.empty() ? "" : ",") + settings::ListItem(item.text);
   out.Set(path, joined);
 }
 
@@ -75,6 +63,7 @@
       std::erase_if(
           all, [&](const auto& key) { return !one.contains(key.first) || one[key.first] != key.second; });
   }
+  all[path + "[]"] = json.items.front().kind;  // whatever its members are: it has some
   out.merge(all);
 }
 
@@ -84,19 +73,19 @@
   return shape;
 }
 
-// Names become fields of frames, headers and figures.
-bool IsName(const std::string& name) {
-  return !name.empty() && name.size() <= kNameMost &&
-         std::all_of(name.begin(), name.end(), [](char c) { return c > ' ' && c < 0x7f && c != '='; });
+// Whether the path is of members of a list that is there and has none.
+bool IsOfEmptyList(const std::string& path, const Shape& shape) {
+  for (std::size_t at = path.find("[]"); at != std::string::npos; at = path.find("[]", at + 1)) {
+    const bool list = shape.contains(path.substr(0, at));
+    if (list && !shape.contains(path.substr(0, at + 2))) return true;
+  }
+  return false;
 }
 
-void CheckNames(const std::vector<std::string>& names, const std::string& what) {
-  std::set<std::string> seen;
-  for (const std::string& name : names) {
-    if (!IsName(name)) throw ConfigError(what + ": a name is missing or unusable");
-    if (!seen.insert(name).second) throw ConfigError(what + ": '" + name + "' is there twice");
-  }
-  if (names.size() > kNamesMost) throw ConfigError(what + ": too many");
+// Throws the first finding that is at least as severe.
+void RefuseFrom(settings::Severity least, const Config& config) {
+  for (const settings::Finding& finding : config.findings)
+    if (finding.severity >= least) throw ConfigError(finding.text);
 }
 
 std::uint64_t ReadSeed(const std::string& text) {
@@ -142,7 +131,10 @@
     if (!config.feed.empty()) ReadAddress(config.feed, "feed");
     config.known = json["known"];
     if (!json["settings"].Is(Json::Kind::kObject)) throw ConfigError("settings: missing");
-    config.site = settings::ParseSite(Flatten(json["settings"]));
+    const settings::Pairs pairs = Flatten(json["settings"]);
+    config.site = settings::ParseSite(pairs);
+    config.findings = settings::Check(pairs, config.site);
+    config.site.module.progress_every = 0;  // engines' answers bring no notes that are read
     config.shape = ShapeOf(json);
     if (config.site.classes.empty()) throw ConfigError("settings: no request classes");
   } catch (const codec::JsonError& e) {
@@ -153,37 +145,22 @@
   return config;
 }
 
-void CheckFigures(const Config& config) {
-  const settings::Site& site = config.site;
-  CheckNames(site.classes, "settings.requestClasses");
-  CheckNames(site.tenants, "settings.tenants");
-  const auto wrong = [](const std::string& where) { throw ConfigError(where + ": out of range"); };
-  for (std::size_t i = 0; i < site.classes.size(); ++i) {
-    const ClassSettings& c = site.module.classes[i];
-    const std::string where = "settings.requestClasses '" + site.classes[i] + "' ";
-    if (c.deadline <= 0 || c.deadline > kDeadlineMost) wrong(where + "deadlineNs");
-    if (c.aim <= 0 || c.aim > kDeadlineMost) wrong(where + "promiseNs");
-    if (!(c.worth >= 0 && c.worth <= kFigureMost)) wrong(where + "credit");
-    if (!(c.late_worth >= 0 && c.late_worth <= 1)) wrong(where + "lateWorth");
-    if (!(c.aim_stretch >= 0 && c.aim_stretch <= kFigureMost)) wrong(where + "aimStretch");
-  }
-  for (std::size_t i = 0; i < site.tenants.size(); ++i) {
-    const double quota = site.module.tenants[i].quota_per_s;
-    if (!(quota >= 0 && quota <= kFigureMost)) wrong("settings.tenants '" + site.tenants[i] + "' quotaPerS");
+void CheckServable(const Config& config) { RefuseFrom(settings::Severity::kFatal, config); }
+
+void CheckFigures(const Config& config) { RefuseFrom(settings::Severity::kError, config); }
+
+void LogFindings(const Config& config) {
+  for (const settings::Finding& finding : config.findings) {
+    const bool warning = finding.severity == settings::Severity::kWarning;
+    spdlog::log(warning ? spdlog::level::warn : spdlog::level::err, "{}", finding.text);
   }
-  if (site.module.max_attempts < 1 || site.module.max_attempts > kAttemptsMost)
-    wrong("settings.limits.maxAttempts");
-  if (site.module.connect_timeout > kDeadlineMost) wrong("settings.limits.connectTimeoutNs");
-  if (site.module.tick > kTickMost) wrong("settings.tickNs");
-  if (site.per_class < site.classes.size())
-    wrong("settings.specifics: values of some classes are missing, and");
 }
 
 void CheckShape(const Config& config, const Config& in_force) {
   for (const auto& [path, kind] : in_force.shape) {
     if (path.ends_with("[]") || kind == Json::Kind::kNull) continue;
     const auto it = config.shape.find(path);
-    if (it == config.shape.end() && IsOptional(path)) continue;
+    if (it == config.shape.end() && (IsOptional(path) || IsOfEmptyList(path, config.shape))) continue;
     if (it == config.shape.end()) throw ConfigError(path + ": missing");
     if (it->second != kind) throw ConfigError(path + ": a value of another kind");
   }
--- a/src/cli/config.h
+++ b/src/cli/config.h
@@ -8,9 +8,11 @@
 #include <stdexcept>
 #include <string>
 #include <string_view>
+#include <vector>
 
 #include "codec/json.h"
 #include "runtime/socket.h"
+#include "settings/check.h"
 #include "settings/settings.h"
 
 namespace lemoncroft::cli {
@@ -33,6 +35,7 @@
   std::string feed;           // empty: none is followed
   codec::Json known;          // the control feed's events up to now
   settings::Site site;
+  std::vector<settings::Finding> findings;  // about the settings, the worst first
   // Where each value of the file stands, in the way of settings.requestClasses[].deadlineNs, and of what kind
   // it is. Of the members of a list, what all have.
   std::map<std::string, codec::Json::Kind> shape;
@@ -42,11 +45,16 @@
 Config ReadConfig(std::string_view text);
 Config LoadConfig(const std::string& path);
 
-// What a file must be beyond that for a process that runs to take it: figures in range, and, with the one in
-// force at hand, every key that this has, with a value of the same kind. Throws ConfigError.
+// What a file must be beyond that. For a start: some request can be served. For a process that runs, whose
+// settings are better than half-broken ones: no errors, and, with the one in force at hand, every key that
+// this has, with a value of the same kind. All throw ConfigError.
+void CheckServable(const Config& config);
 void CheckFigures(const Config& config);
 void CheckShape(const Config& config, const Config& in_force);
 
+// Writes a log line for each finding about the settings.
+void LogFindings(const Config& config);
+
 // An address in a configuration; `what` names it in the error.
 runtime::Address ReadAddress(const std::string& text, const char* what);
 
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -210,6 +210,7 @@
     if (file.fleet && *file.fleet != *running.fleet)
       spdlog::warn("{}: fleet changes by a restart only; it stays as it was", paths.operator_file);
     TellWhatStays(config, running.config);
+    LogFindings(config);
     PutInForce(running, std::move(succession));
     if (file.waiting) {
       running.own_line = std::move(file.waiting->line);
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -31,6 +31,9 @@
 int CheckConfig(const Options& options) {
   using namespace lemoncroft;
   const cli::Config config = cli::LoadConfig(options.config);
+  for (const settings::Finding& finding : config.findings)
+    if (finding.severity == settings::Severity::kWarning)
+      std::printf("%s: warning: %s\n", options.config.c_str(), finding.text.c_str());
   try {
     cli::CheckFigures(config);
   } catch (const cli::ConfigError& e) {
@@ -51,6 +54,8 @@
 int Serve(const Options& options) {
   using namespace lemoncroft::cli;
   Config config = LoadConfig(options.config);
+  CheckServable(config);
+  LogFindings(config);
   // Each process that takes another's place has an address of its own; the file may be shared.
   const std::string management = Environment("PROXY_MANAGEMENT");
   if (!management.empty()) config.management = ReadAddress(management, "PROXY_MANAGEMENT");
--- a/src/membership/directory.cpp
+++ b/src/membership/directory.cpp
@@ -4,6 +4,8 @@
 
 #include <algorithm>
 #include <chrono>
+#include <limits>
+#include <unordered_set>
 
 #include "broker/module_clock.h"
 
@@ -12,13 +14,15 @@
 
 using codec::Json;
 
-std::uint16_t PlaceOf(const std::string& name, const std::vector<std::string>& names) {
-  const auto it = std::find(names.begin(), names.end(), name);
-  return static_cast<std::uint16_t>(it == names.end() ? 0 : it - names.begin());
-}
+constexpr std::uint16_t kNumberMost = std::numeric_limits<std::uint16_t>::max();
+constexpr std::size_t kUnlistedMost = 1024;  // names told apart; further ones share a number
 
 constexpr Nanos kOwnReturn = 1'000'000'000;  // by the clock of files
 
+std::string TextOr(const Json& json, const std::string& absent) {
+  return json.Is(Json::Kind::kText) ? json.text : absent;
+}
+
 Nanos NanosOf(Directory::UnixTime at) {
   return broker::ModuleClock::AtUnix(
       std::chrono::duration_cast<std::chrono::milliseconds>(at.time_since_epoch()));
@@ -38,6 +42,23 @@
   return id;
 }
 
+// A name that the settings don't list gets a number that none of theirs has: under one of theirs the engine
+// would be sent requests that are bound elsewhere.
+std::uint16_t Directory::NumberOf(const std::string& name, const std::vector<std::string>& names,
+                                  const char* what) {
+  if (name.empty() && names.size() <= 1) return 0;  // not told, and there is no other
+  const auto it = std::find(names.begin(), names.end(), settings::ListItem(name));
+  if (it != names.end()) return static_cast<std::uint16_t>(it - names.begin());
+  if (unlisted_.size() >= kUnlistedMost && !unlisted_.contains(name))
+    return static_cast<std::uint16_t>(kNumberMost - kUnlistedMost);
+  const auto number = static_cast<std::uint16_t>(kNumberMost - unlisted_.size());
+  const auto [known, fresh] = unlisted_.try_emplace(name, number);
+  if (fresh)
+    spdlog::warn("control feed: the settings list no {} '{}': no class that is bound to some goes there",
+                 what, name);
+  return known->second;
+}
+
 const Member* Directory::Find(EngineId engine) const {
   const auto it = members_.find(engine);
   return it == members_.end() ? nullptr : &it->second;
@@ -71,11 +92,12 @@
     if (auto entry = ApplyMember(json)) entries.push_back(*entry);
   }
   if (complete) {  // who is not in a whole list has left
+    std::unordered_set<EngineId> named;
+    named.reserve(entries.size());
+    for (const EngineEntry& entry : entries) named.insert(entry.engine);
     std::vector<EngineId> left;
     for (const auto& [id, member] : members_) {
-      const bool named = std::any_of(entries.begin(), entries.end(),
-                                     [id = id](const EngineEntry& e) { return e.engine == id; });
-      if (!named) left.push_back(id);
+      if (!named.contains(id)) left.push_back(id);
     }
     for (const EngineId id : left) Forget(id);
   }
@@ -93,9 +115,8 @@
   }
   // What an entry leaves out stays as it was: a drain must not be missed for want of an address.
   const Member* known = Find(IdOf(name));
-  const std::string host_port = known != nullptr && !json["host_port"].Is(Json::Kind::kText)
-                                    ? known->host_port
-                                    : json["host_port"].text;
+  const std::string host_port =
+      known != nullptr ? TextOr(json["host_port"], known->host_port) : json["host_port"].text;
   const auto address = runtime::Address::Parse(host_port);
   if (!address && phase != "Gone") {
     spdlog::warn("control feed: {} has no usable address and is passed over", name);
@@ -104,14 +125,16 @@
   }
   EngineEntry entry;
   entry.engine = IdOf(name);
-  entry.weight = json["size"].Number(1);
+  entry.weight = json["size"].Number(known != nullptr ? known->fed.weight : 1);
   // An unknown state takes nothing new: sending there could break the rule on drains.
   entry.readiness = phase == "Ready"  ? Readiness::kReady
                     : phase == "Gone" ? Readiness::kGone
                                       : Readiness::kDraining;
-  entry.kind = PlaceOf(json["flavor"].text, site_->kinds);
-  entry.zone = PlaceOf(json["locality"].text, site_->zones);
-  entry.cell = static_cast<std::uint16_t>(json["cell"].Integer());
+  const std::string kind = TextOr(json["flavor"], known != nullptr ? known->kind : std::string());
+  const std::string zone = TextOr(json["locality"], known != nullptr ? known->zone : std::string());
+  entry.kind = NumberOf(kind, site_->kinds, "machine kind");
+  entry.zone = NumberOf(zone, site_->zones, "zone");
+  entry.cell = static_cast<std::uint16_t>(json["cell"].Integer(known != nullptr ? known->fed.cell : 0));
   const Json& up_since = json["up_since_ms"];
   entry.started_at = known != nullptr ? known->fed.started_at : 0;
   if (up_since.Is(Json::Kind::kNumber)) {
@@ -127,7 +150,7 @@
     known = nullptr;
   }
   const std::uint64_t life = known != nullptr ? known->life : ++lives_;
-  Member member{name, host_port, *address, json["flavor"].text, json["locality"].text, entry, entry, life};
+  Member member{name, host_port, *address, kind, zone, entry, entry, life};
   Mark(member.entry, name);
   members_.insert_or_assign(entry.engine, member);
   return member.entry;
@@ -136,8 +159,8 @@
 void Directory::Renumber(const Tell& tell) {
   std::vector<EngineEntry> entries;
   for (auto& [id, member] : members_) {
-    member.fed.kind = member.entry.kind = PlaceOf(member.kind, site_->kinds);
-    member.fed.zone = member.entry.zone = PlaceOf(member.zone, site_->zones);
+    member.fed.kind = member.entry.kind = NumberOf(member.kind, site_->kinds, "machine kind");
+    member.fed.zone = member.entry.zone = NumberOf(member.zone, site_->zones, "zone");
     entries.push_back(member.entry);
   }
   if (!entries.empty())
@@ -204,9 +227,9 @@
 }
 
 std::size_t Directory::Avoided(const std::vector<EngineId>& avoided) const {
+  const std::unordered_set<EngineId> among(avoided.begin(), avoided.end());
   return static_cast<std::size_t>(std::count_if(members_.begin(), members_.end(), [&](const auto& m) {
-    return out_.contains(m.second.name) ||
-           std::find(avoided.begin(), avoided.end(), m.first) != avoided.end();
+    return out_.contains(m.second.name) || among.contains(m.first);
   }));
 }
 
--- a/src/membership/directory.h
+++ b/src/membership/directory.h
@@ -35,7 +35,7 @@
 
   using Tell = std::function<void(EngineList)>;
   using UnixTime = std::chrono::system_clock::time_point;
-  static constexpr std::size_t kOutMost = 1024;  // engines out by hand
+  static constexpr std::size_t kOutMost = 4096;  // engines out by hand; as many as the fleet's rules can name
 
   // Applies the events of {"n":LAST,"events":[...]} that are not known yet, in order; hands what each of them
   // means for the module to `tell`. Returns false where the document is not of that form.
@@ -74,6 +74,8 @@
   std::optional<EngineList> ApplyEvent(const codec::Json& members);
   std::optional<EngineEntry> ApplyMember(const codec::Json& json);
   EngineId IdOf(const std::string& name);
+  // The number of a zone or machine kind (`what`) among `names`, as the module is told it.
+  std::uint16_t NumberOf(const std::string& name, const std::vector<std::string>& names, const char* what);
   void End(EngineId engine);     // of one life
   void Forget(EngineId engine);  // has gone for good
 
@@ -81,8 +83,9 @@
   std::map<std::string, EngineId> ids_;
   std::map<EngineId, std::string> names_;
   std::map<EngineId, Member> members_;
-  std::set<std::string> out_;              // by hand; these may have gone
-  std::map<std::string, Nanos> returned_;  // of engines that are listed: since when by hand
+  std::set<std::string> out_;                      // by hand; these may have gone
+  std::map<std::string, std::uint16_t> unlisted_;  // zones and machine kinds that no settings have listed
+  std::map<std::string, Nanos> returned_;          // of engines that are listed: since when by hand
   std::int64_t last_ = 0;
   std::uint64_t lives_ = 0;
   bool loaded_ = false;
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -5,6 +5,16 @@
 
 namespace lemoncroft::settings {
 
+std::string ListItem(std::string name) {
+  std::replace_if(
+      name.begin(), name.end(), [](char c) { return c == ' ' || c == ','; }, '_');
+  return name;
+}
+
+namespace {
+constexpr Nanos kConnectTimeoutUntold = 250'000'000;  // no time at all would let no connection come up
+}  // namespace
+
 Pairs Pairs::FromLines(std::string_view text) {
   Pairs pairs;
   std::size_t line_no = 0;
@@ -105,6 +115,7 @@
   c.aim = in.Time(p + "promiseNs");
   c.aim_stretch = in.Number(p + "aimStretch");
   c.deadline = in.Time(p + "deadlineNs");
+  if (c.aim == 0 && c.aim_stretch <= 0) c.aim = c.deadline;  // none is told: any answer in time has its worth
   c.worth = in.Number(p + "credit", 1);
   c.late_worth = in.Number(p + "lateWorth");
   c.effect = in.OneOf<Effect>(
@@ -146,6 +157,30 @@
   s.tells_cost = in.Flag("specifics.saysCost");
 }
 
+// Cores decide how much an engine is sent: where none are told it is the least of the others, or else enough
+// for the query with the most threads.
+void FillCores(Settings& s, std::size_t kinds) {
+  s.kinds.resize(std::max(s.kinds.size(), kinds));
+  double least = 0;
+  for (const KindSettings& kind : s.kinds)
+    if (kind.cores > 0) least = least > 0 ? std::min(least, kind.cores) : kind.cores;
+  const bool told = least > 0;
+  for (const ClassSettings& c : s.classes)
+    if (!told) least = std::max(least, static_cast<double>(c.threads));
+  for (KindSettings& kind : s.kinds)
+    if (!(kind.cores > 0)) kind.cores = least;
+}
+
+// Zones or kinds that a class is bound to and the settings don't list are numbered behind those that they do:
+// an engine under such a name is one that the class may go to.
+void AddMentioned(const Pairs& in, const std::string& key, std::vector<std::string>& names) {
+  for (const std::string& item : in.List(key)) {
+    const bool position =
+        !item.empty() && std::all_of(item.begin(), item.end(), [](char c) { return c >= '0' && c <= '9'; });
+    if (!position && std::find(names.begin(), names.end(), item) == names.end()) names.push_back(item);
+  }
+}
+
 ReportField ToField(const std::string& name) {
   static constexpr std::pair<const char*, ReportField> kFields[] = {{"inflight", ReportField::kInflight},
                                                                     {"queue", ReportField::kQueue},
@@ -172,15 +207,20 @@
 Site ParseSite(const Pairs& in) {
   Site site;
   Settings& s = site.module;
-  const auto& zones = site.zones = in.List("dcs");
-  const auto& kinds = site.kinds = in.List("flavors");
+  site.zones = in.List("dcs");
+  site.kinds = in.List("flavors");
   s.gateways = in.Count("siblings", 1);
   s.self = in.Count("me");
   s.zone = static_cast<std::uint16_t>(in.Count("zone"));
   s.tick = in.Time("tickNs");
   const int classes = in.Count("requestClasses.count");
   for (int i = 0; i < classes; ++i) {
-    s.classes.push_back(ParseClass(in, i, zones, kinds));
+    const std::string p = "requestClasses." + std::to_string(i) + ".";
+    AddMentioned(in, p + "staysIn", site.zones);
+    AddMentioned(in, p + "boundTo", site.kinds);
+  }
+  for (int i = 0; i < classes; ++i) {
+    s.classes.push_back(ParseClass(in, i, site.zones, site.kinds));
     site.classes.push_back(in.Text("requestClasses." + std::to_string(i) + ".name"));
   }
   const int tenants = in.Count("tenants.count");
@@ -214,9 +254,11 @@
   s.max_attempts = in.Count("limits.maxAttempts", 1);
   s.max_come_back = in.Time("limits.maxRetryAfterNs");
   s.connect_timeout = in.Time("limits.connectTimeoutNs");
+  if (s.connect_timeout == 0) s.connect_timeout = kConnectTimeoutUntold;
   s.late_fail_price = in.Number("prices.lateFail");
   s.cross_zone_price = in.Number("prices.crossZone");
   ParseSpecifics(in, s);
+  FillCores(s, site.kinds.size());
   site.per_class = site.classes.size();
   for (const char* list : {"specifics.threadsByClass", "specifics.holdsTables", "specifics.blockedByLoads"})
     if (in.Has(list)) site.per_class = std::min(site.per_class, in.List(list).size());
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -25,6 +25,9 @@
   using std::runtime_error::runtime_error;
 };
 
+// A name as an item of a list: spaces and commas inside it are underscores there, as on the simulator's wire.
+std::string ListItem(std::string name);
+
 // Path=value pairs with typed reads that name the path when they fail.
 class Pairs {
  public:
@@ -34,6 +37,7 @@
   }
 
   bool Has(const std::string& key) const;
+  const std::map<std::string, std::string>& all() const { return values_; }
   std::string Text(const std::string& key) const;
   double Number(const std::string& key, double absent = 0) const;
   Nanos Time(const std::string& key) const;
