Bear lists of 1,500 engines, proxies and names; take a long list that comes slowly

The control feed's whole answer had 210 ms: a list that takes longer was cut off and asked for anew without end. An exchange between proxies put all that differs in one message, which may have 1 MB; 1,500 of the longest records have more, and no exchange would ever succeed. A reload looked for each name in the whole list.

That answer has to begin within 210 ms as before, and has 3 s in which to go on coming without a gap of 150 ms. An exchange carries whole buckets of members up to 768 KB and the next one goes on behind them. A reload finds names by a hash table.

--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -37,12 +37,17 @@
 
 runtime::Task<Io> Connection::Receive(runtime::Time deadline, runtime::Cancellation* cancel,
                                       codec::HttpResponse& out) {
+  co_return co_await Receive(deadline, deadline, cancel, out);
+}
+
+runtime::Task<Io> Connection::Receive(runtime::Time begin_by, runtime::Time whole_by,
+                                      runtime::Cancellation* cancel, codec::HttpResponse& out) {
   for (;;) {
     codec::HttpParser::State state = parser_.Feed(in_);
     if (state == codec::HttpParser::State::kNeedMore) {
       const bool begun = !in_.empty() || parser_.begun();  // and not after an interim answer alone
-      const runtime::Time rest = begun ? runtime::Now() + kRestWithin : runtime::kNever;
-      const Io io = co_await socket_->Read(in_, kReadAtOnce, std::min(deadline, rest), cancel);
+      const runtime::Time until = begun ? std::min(whole_by, runtime::Now() + kRestWithin) : begin_by;
+      const Io io = co_await socket_->Read(in_, kReadAtOnce, until, cancel);
       if (io == Io::kOk) continue;
       if (io != Io::kClosed) co_return io;
       state = parser_.Finish();
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -25,6 +25,9 @@
   // Waits for the response to a call that was sent, or goes on where a wait was cut short.
   runtime::Task<runtime::Io> Receive(runtime::Time deadline, runtime::Cancellation* cancel,
                                      codec::HttpResponse& out);
+  // The same for a long response: it has to begin by `begin_by` and to be whole by `whole_by`.
+  runtime::Task<runtime::Io> Receive(runtime::Time begin_by, runtime::Time whole_by,
+                                     runtime::Cancellation* cancel, codec::HttpResponse& out);
 
   bool pending() const { return pending_; }    // a response is still to come
   bool sent_any() const { return sent_any_; }  // the last call has handed bytes to the kernel
--- a/src/membership/feed.cpp
+++ b/src/membership/feed.cpp
@@ -21,7 +21,9 @@
 // Between connections: longer with each that brings nothing, and jittered, since hundreds of proxies come
 // back to a feed that was down at the same moment.
 constexpr runtime::Span kPauseLeast = 10ms, kPauseMost = 80ms;
-constexpr codec::HttpParser::Limits kLimits{16 * 1024, 4 * 1024 * 1024};
+// A whole list of thousands of engines takes longer than the grace, and goes on coming meanwhile.
+constexpr auto kListWithin = 3s;
+constexpr codec::HttpParser::Limits kLimits{std::size_t{16} << 10, std::size_t{8} << 20};
 
 }  // namespace
 
@@ -70,7 +72,9 @@
     request.path =
         "/v1/events?SUB=" + std::to_string(directory_.last()) + "&wait=" + std::to_string(kWait.count());
     codec::HttpResponse response;
-    const Io io = co_await connection.Call(request, runtime::Now() + kWait + kGrace, &moved, response);
+    const runtime::Time begin_by = runtime::Now() + kWait + kGrace;
+    Io io = co_await connection.Send(request, begin_by, &moved);
+    if (io == Io::kOk) io = co_await connection.Receive(begin_by, begin_by + kListWithin, &moved, response);
     if (io != Io::kOk || response.status != 200) {
       spdlog::info("control feed: connection lost after event {}", directory_.last());
       co_return;
--- a/src/peerlink/frame.cpp
+++ b/src/peerlink/frame.cpp
@@ -17,6 +17,9 @@
 using Reader = codec::MsgpackReader;
 
 constexpr char kMagic[] = {'L', 'C'};
+static_assert(peers::kExchangeBytesMost + (std::size_t{16} << 10) < kStreamMost,
+              "beside its sender and sums");
+
 constexpr codec::MsgpackBounds kBounds{16384, 256, kStreamMost, 8};
 
 // The kinds of messages and bodies on the wire: never renumbered.
--- a/src/peers/types.h
+++ b/src/peers/types.h
@@ -34,6 +34,8 @@
 inline constexpr std::uint64_t kIncarnationMost = std::uint64_t{1} << 60;
 // Bytes of one datagram, its frame included.
 inline constexpr std::size_t kDatagramMost = 1400;
+// Bytes of entries in one message of an exchange; what differs beyond that is told in the next one.
+inline constexpr std::size_t kExchangeBytesMost = std::size_t{768} << 10;
 
 // IPv4, in the host's byte order.
 struct Endpoint {
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -1,6 +1,7 @@
 #include "peers/view.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <set>
 #include <string_view>
@@ -725,10 +726,29 @@
   return {roster_.own().record, roster_.sums()};
 }
 
+// Of the buckets that differ as many as one exchange can carry, each whole: those are alike afterwards, and
+// the next exchange goes on with the others.
+std::bitset<kBuckets> View::BucketsToTell(const Sums& theirs) const {
+  std::array<std::size_t, kBuckets> bytes{};
+  for (const auto& [id, member] : roster_.all())
+    bytes[id % kBuckets] += EncodedMost(News{Status::kAlive, member.record, kNobody}) +
+                            EncodedMost(News{Status::kFailed, member.record, kNobody});
+  std::bitset<kBuckets> tell;
+  std::size_t all = 0;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket) {
+    if (theirs[bucket] == roster_.sums()[bucket]) continue;
+    if (tell.any() && all + bytes[bucket] > kExchangeBytesMost) break;
+    all += bytes[bucket];
+    tell.set(bucket);
+  }
+  return tell;
+}
+
 std::vector<News> View::Differing(const Sums& theirs) const {
   std::vector<News> out;
+  const std::bitset<kBuckets> tell = BucketsToTell(theirs);
   for (const auto& [id, member] : roster_.all()) {
-    if (theirs[id % kBuckets] == roster_.sums()[id % kBuckets]) continue;
+    if (!tell.test(id % kBuckets)) continue;
     if (id == roster_.self() && left_) continue;
     if (out.size() + 2 > kEntriesMost) break;
     if (member.living()) out.push_back({Status::kAlive, member.record, kNobody});
--- a/src/peers/view.h
+++ b/src/peers/view.h
@@ -10,6 +10,7 @@
 #ifndef LEMONCROFT_PEERS_VIEW_H_
 #define LEMONCROFT_PEERS_VIEW_H_
 
+#include <bitset>
 #include <cstdint>
 #include <deque>
 #include <map>
@@ -161,6 +162,7 @@
   // What is held against a member, so that it can answer.
   std::optional<News> Accusation(InstanceId id) const;
   void Post(const Endpoint& to, InstanceId to_id, const Body& body, std::vector<News> first = {});
+  std::bitset<kBuckets> BucketsToTell(const Sums& theirs) const;
   std::vector<News> Differing(const Sums& theirs) const;
   void TakeAll(Time now, const Entries& entries);
   void Compare(Time now, const Datagram& d);
--- a/src/settings/succession.cpp
+++ b/src/settings/succession.cpp
@@ -2,12 +2,14 @@
 
 #include <algorithm>
 #include <functional>
+#include <string>
+#include <unordered_map>
 
 namespace lemoncroft::settings {
 namespace {
 
-constexpr std::size_t kPlacesMost = 256;    // kinds, zones: these are only added to
-constexpr std::size_t kNumbersMost = 4096;  // classes, tenants
+constexpr std::size_t kPlacesMost = 4096;     // kinds, zones: these are only added to
+constexpr std::size_t kNumbersMost = 32'768;  // classes, tenants: those in force and those with open requests
 
 using Numbers = std::vector<std::uint16_t>;
 using Names = std::vector<std::string>;
@@ -16,13 +18,21 @@
   return static_cast<std::size_t>(std::find(names.begin(), names.end(), name) - names.begin());
 }
 
+// Where each name stands first.
+std::unordered_map<std::string, std::size_t> PlacesOf(const Names& names) {
+  std::unordered_map<std::string, std::size_t> places;
+  for (std::size_t i = 0; i < names.size(); ++i) places.try_emplace(names[i], i);
+  return places;
+}
+
 // The number of each of `to`; new names are added to `all`.
 Numbers AddTo(Names& all, const Names& to) {
   Numbers numbers;
+  auto places = PlacesOf(all);
   for (const std::string& name : to) {
-    const std::size_t at = Find(all, name);
-    if (at == all.size()) all.push_back(name);
-    numbers.push_back(static_cast<std::uint16_t>(at));
+    const auto [place, fresh] = places.try_emplace(name, all.size());
+    if (fresh) all.push_back(name);
+    numbers.push_back(static_cast<std::uint16_t>(place->second));
   }
   if (all.size() > kPlacesMost) throw SettingsError("too many machine kinds or zones since the start");
   return numbers;
@@ -38,18 +48,20 @@
 // `names` are those before; afterwards those in force, empty where there is none.
 Numbers Number(Names& names, const Names& to, const std::set<std::uint16_t>& used,
                const std::function<bool(std::size_t before, std::size_t now)>& stays) {
+  const auto places = PlacesOf(names);
   std::vector<bool> taken(names.size());
   Numbers numbers(to.size());
   std::vector<std::size_t> open;
   for (std::size_t i = 0; i < to.size(); ++i) {
-    const std::size_t at = Find(names, to[i]);
+    const auto place = places.find(to[i]);
+    const std::size_t at = place == places.end() ? names.size() : place->second;
     const bool same = at < names.size() && !taken[at] && stays(at, i);
     if (same) taken[at] = true;
     if (same) numbers[i] = static_cast<std::uint16_t>(at);
     if (!same) open.push_back(i);
   }
+  std::size_t at = 0;  // no number below it is free
   for (const std::size_t i : open) {
-    std::size_t at = 0;
     while (at < taken.size() && (taken[at] || used.contains(static_cast<std::uint16_t>(at)))) ++at;
     if (at == taken.size()) taken.push_back(false);
     taken[at] = true;
@@ -91,10 +103,11 @@
     site.module.classes[i] = before[i];
     out.like[i] = i;
   }
+  const auto classes_before = PlacesOf(from.classes);
   for (std::size_t i = 0; i < classes.size(); ++i) {
     site.module.classes[classes[i]] = fresh[i];
-    const std::size_t was = Find(from.classes, to.classes[i]);
-    out.like[classes[i]] = was < from.classes.size() ? static_cast<int>(was) : -1;
+    const auto was = classes_before.find(to.classes[i]);
+    out.like[classes[i]] = was == classes_before.end() ? -1 : static_cast<int>(was->second);
   }
 
   site.tenants = from.tenants;
