--- a/src/settings/check.cpp
+++ b/src/settings/check.cpp
@@ -247,8 +247,8 @@
     if (!reports && !fields.empty()) Warn("report.fields: no source brings them");
     if (source == "probe" && !site_.module.may_probe)
       Warn("report.source: reports come with probes alone, and limits.probing allows none");
-    const bool too_many = fields.size() > kReportFieldsRead;
-    const auto read_end = too_many ? fields.begin() + kReportFieldsRead : fields.end();
+    const bool too_many = fields.size() > kReportFieldsMost;
+    const auto read_end = too_many ? fields.begin() + kReportFieldsMost : fields.end();
     if (too_many) Warn("report.fields: only the first four are read");
     if (reports && !fields.empty() && std::find(fields.begin(), read_end, "inflight") == read_end)
       Warn("report.fields: without inflight a report tells nothing that is used");
@@ -307,8 +307,6 @@
       Warn("*: " + std::to_string(unknown.size() - kUnknownTold) + " further keys are unknown");
   }
 
-  static constexpr std::ptrdiff_t kReportFieldsRead = 4;
-
   const Pairs& in_;
   const Site& site_;
   std::vector<Finding> findings_;
