Keep the events of the start only until they are applied

Cause: the configuration's `known` was copied out of its JSON tree and stayed with the running proxy, twice.

--- a/src/cli/config.cpp
+++ b/src/cli/config.cpp
@@ -116,7 +116,7 @@
 Config ReadConfig(std::string_view text) {
   Config config;
   try {
-    const Json json = Json::Parse(text);
+    Json json = Json::Parse(text);
     if (!json.Is(Json::Kind::kObject)) throw ConfigError("not a JSON object");
     config.name = json["name"].text;
     config.listen_text = json["listen"].text;
@@ -129,7 +129,6 @@
     config.sockets = ReadSize(json["limits"]["sockets"]);
     config.feed = json["feed"].text;
     if (!config.feed.empty()) ReadAddress(config.feed, "feed");
-    config.known = json["known"];
     if (!json["settings"].Is(Json::Kind::kObject)) throw ConfigError("settings: missing");
     const settings::Pairs pairs = Flatten(json["settings"]);
     config.site = settings::ParseSite(pairs);
@@ -137,6 +136,7 @@
     config.site.module.progress_every = 0;  // engines' answers bring no notes that are read
     config.shape = ShapeOf(json);
     if (config.site.classes.empty()) throw ConfigError("settings: no request classes");
+    config.known = json.Take("known");  // it may be long
   } catch (const codec::JsonError& e) {
     throw ConfigError(e.what());
   } catch (const settings::SettingsError& e) {
--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -10,6 +10,7 @@
 #include <cstring>
 #include <functional>
 #include <system_error>
+#include <utility>
 
 #include "backend/engines.h"
 #include "broker/broker.h"
@@ -219,7 +220,7 @@
       running.state = std::move(file.waiting->state);
       spdlog::info("operator's file read again: {}", paths.operator_file);
     }
-    running.directory.Apply(config.known, running.tell);
+    running.directory.Apply(std::exchange(config.known, {}), running.tell);
     spdlog::info("configuration read again: {} classes, control feed at {}", config.site.classes.size(),
                  config.feed);
     running.feed.MoveTo(config.feed);
@@ -341,7 +342,7 @@
   sigprocmask(SIG_BLOCK, &set, nullptr);
 }
 
-int RunProxy(const Config& config, const Paths& paths) {
+int RunProxy(Config config, const Paths& paths) {
   HoldSignals();
   std::signal(SIGPIPE, SIG_IGN);
   const bool shared = !paths.inherited.empty();
@@ -398,7 +399,8 @@
     });
     fleet->Start();
   }
-  if (!directory.Apply(config.known, tell)) spdlog::warn("the configuration knows no list of engines");
+  if (!directory.Apply(std::exchange(config.known, {}), tell))
+    spdlog::warn("the configuration knows no list of engines");
   membership::Feed feed(loop, directory, config.feed, tell, config.seed);
   Running running{config, site,     server, broker, engines, directory,
                   feed,   counters, tell,   most,   "",      file.fleet ? &fleet->settings() : nullptr,
--- a/src/cli/proxy.h
+++ b/src/cli/proxy.h
@@ -19,7 +19,7 @@
 
 // Returns the exit code; `paths` tells where `config` was read, and may be read again. Throws
 // std::system_error where it cannot listen, op::OperatorError for an operator's file that is wrong.
-int RunProxy(const Config& config, const Paths& paths);
+int RunProxy(Config config, const Paths& paths);
 
 }  // namespace lemoncroft::cli
 
--- a/src/codec/json.cpp
+++ b/src/codec/json.cpp
@@ -2,6 +2,7 @@
 
 #include <charconv>
 #include <cmath>
+#include <utility>
 
 namespace lemoncroft::codec {
 namespace {
@@ -180,6 +181,13 @@
   return kAbsent;
 }
 
+Json Json::Take(std::string_view name) {
+  for (std::size_t i = 0; i < names.size(); ++i) {
+    if (names[i] == name) return std::exchange(items[i], Json());
+  }
+  return {};
+}
+
 double Json::Number(double absent) const {
   double value = absent;
   if (kind == Kind::kNumber) std::from_chars(text.data(), text.data() + text.size(), value);
--- a/src/codec/json.h
+++ b/src/codec/json.h
@@ -28,6 +28,8 @@
 
   // Member or, where there is none (or this is no object), a null value.
   const Json& operator[](std::string_view name) const;
+  // The same moved out, with a null value left in its place.
+  Json Take(std::string_view name);
   bool Is(Kind k) const { return kind == k; }
   double Number(double absent = 0) const;  // of a number; else `absent`
   std::int64_t Integer(std::int64_t absent = 0) const;
--- a/src/main.cpp
+++ b/src/main.cpp
@@ -6,6 +6,7 @@
 #include <cstdlib>
 #include <exception>
 #include <string>
+#include <utility>
 
 #include "cli/config.h"
 #include "cli/fleet.h"
@@ -59,7 +60,7 @@
   // Each process that takes another's place has an address of its own; the file may be shared.
   const std::string management = Environment("PROXY_MANAGEMENT");
   if (!management.empty()) config.management = ReadAddress(management, "PROXY_MANAGEMENT");
-  return RunProxy(config, {options.config, options.operator_file, Environment("PROXY_FD")});
+  return RunProxy(std::move(config), {options.config, options.operator_file, Environment("PROXY_FD")});
 }
 
 // The file that a running proxy keeps up to date for the command, as its operator's file names it.
