Learn estimates and their spread from answers' times where costs aren't told

Change: where costs aren't told, the slope of log time on log estimate is learnt from answers, times are set against what it makes expect, and what they still scatter is the deviation; with no estimates it is the spread of the times. It begins at 1 (a factor of 2.7) instead of 0.5, since nothing corrects estimates at first. A light attempt may run for as many times its expected time as that spread says, if that is more than four, at most kRunawayMost.

--- a/src/estimates/class_estimates.cpp
+++ b/src/estimates/class_estimates.cpp
@@ -18,7 +18,12 @@
 
 double ClassEstimates::Work(double estimate) const {
   if (estimate <= 0) return mean_work_;
-  return std::exp(true_mean_ + covariance_ / estimate_variance_ * (std::log(estimate) - estimate_mean_));
+  if (!told_ && works_learnt_ > 0) return mean_work_ * Relative(estimate);
+  return std::exp(true_mean_ + Slope() * (std::log(estimate) - estimate_mean_));
+}
+
+double ClassEstimates::Relative(double estimate) const {
+  return estimate > 0 && works_learnt_ > 0 ? std::exp(Slope() * (std::log(estimate) - estimate_mean_)) : 1;
 }
 
 double ClassEstimates::Time(double work, bool tells_cost) const {
@@ -31,37 +36,58 @@
 }
 
 double ClassEstimates::Learn(const Answer& answer) {
+  if (answer.told_memory_mb > 0 && answer.estimated_memory_mb > 0)
+    LearnMemory(answer.estimated_memory_mb, answer.told_memory_mb);
   if (answer.told_work > 0) {
+    told_ = true;
     if (answer.estimated_work > 0) LearnWork(answer.estimated_work, answer.told_work);
     Blend(mean_work_, answer.told_work, std::max(kSlow, 1.0 / (answers_ + 2)));
+    return LearnPace(answer.time / std::max(answer.told_work, 1e-3));
   }
-  if (answer.told_memory_mb > 0 && answer.estimated_memory_mb > 0)
-    LearnMemory(answer.estimated_memory_mb, answer.told_memory_mb);
-  return LearnPace(answer.time, answer.told_work);
+  // Set against what the estimate made expect, times scatter less: what is left tells of the pace.
+  const double ratio = LearnPace(answer.time / Relative(answer.estimated_work));
+  mean_work_ = best_;
+  LearnTime(answer.estimated_work, std::max(answer.time, 1e-4));
+  return ratio;
 }
 
 void ClassEstimates::LearnWork(double estimate, double told) {
-  const double weight = std::max(kSlow, 1.0 / (++works_told_ + 3));
+  const double weight = std::max(kSlow, 1.0 / (++works_learnt_ + 3));
   const double x = std::log(estimate), y = std::log(told);
   Blend(deviation_, std::abs(y - std::log(Work(estimate))), weight);
-  const double dx = x - estimate_mean_, dy = y - true_mean_;
-  if (works_told_ == 1) estimate_mean_ = x, true_mean_ = y;
-  Blend(estimate_mean_, x, weight);
-  Blend(true_mean_, y, weight);
-  if (works_told_ == 1) return;
+  LearnRegression(x, y, weight);
+}
+
+// The level of the times is the pace's business (`recent_`, `best_`), the regression has but their slope: if
+// its level were learnt from times over the pace, and the pace from times over it, both would drift.
+void ClassEstimates::LearnTime(double estimate, double time) {
+  const double off = std::log(time / Relative(estimate)) - usual_log_;
+  if (answers_ == 1) usual_log_ += off;
+  const double weight = std::max(kSlow, 1.0 / (answers_ + 3));
+  if (answers_ > 1) Blend(deviation_, std::abs(off), weight);
+  if (answers_ > 1) usual_log_ += std::max(kRecent, 1.0 / answers_) * off;
+  if (estimate <= 0) return;
+  ++works_learnt_;
+  LearnRegression(std::log(estimate), std::log(time), weight);
+}
+
+void ClassEstimates::LearnRegression(double log_estimate, double log_work, double weight) {
+  const double dx = log_estimate - estimate_mean_, dy = log_work - true_mean_;
+  if (works_learnt_ == 1) estimate_mean_ = log_estimate, true_mean_ = log_work;
+  Blend(estimate_mean_, log_estimate, weight);
+  Blend(true_mean_, log_work, weight);
+  if (works_learnt_ == 1) return;
   Blend(estimate_variance_, dx * dx, weight);
   Blend(covariance_, dx * dy, weight);
   covariance_ = std::clamp(covariance_, 0.2 * estimate_variance_, estimate_variance_);
 }
 
-double ClassEstimates::LearnPace(double time, double told_work) {
-  const double sample = told_work > 0 ? time / std::max(told_work, 1e-3) : time;
-  if (answers_ == 0) recent_ = told_work > 0 ? sample : mean_work_;
+double ClassEstimates::LearnPace(double sample) {
+  if (answers_ == 0) recent_ = told_ ? sample : mean_work_;
   // A hung one tells nothing of the pace; a mean of few is no best.
   ++answers_;
   Blend(recent_, std::min(sample, kOutlier * recent_), std::max(kRecent, 1.0 / (answers_ + 2)));
   best_ = known() ? std::min(best_ * kBestCreep, recent_) : recent_;
-  if (told_work <= 0) mean_work_ = best_;
   return sample / std::max(best_, 1e-6);
 }
 
--- a/src/estimates/class_estimates.h
+++ b/src/estimates/class_estimates.h
@@ -23,9 +23,13 @@
 class ClassEstimates {
  public:
   static constexpr int kFewAnswers = 20;  // fewer don't make a mean to call best
+  // Mean error of the log of expected work before any answer: a factor of 1.6, and of 2.7.
+  static constexpr double kDeviationTold = 0.5, kDeviationUntold = 1;
 
-  // `assumed_work`: thread seconds that a query is taken to need before any has been answered.
-  explicit ClassEstimates(double assumed_work) : mean_work_(assumed_work) {}
+  // `assumed_work`: thread seconds that a query is taken to need before any has been answered. Estimates
+  // whose errors no told cost corrects are trusted less at first.
+  ClassEstimates(double assumed_work, bool tells_cost)
+      : deviation_(tells_cost ? kDeviationTold : kDeviationUntold), mean_work_(assumed_work) {}
 
   // Thread seconds that a query needs. Estimates lie by class and scatter: what past answers make of one.
   double Work(double estimate) const;
@@ -42,14 +46,22 @@
   bool known() const { return answers_ >= kFewAnswers; }
 
  private:
+  double Slope() const { return covariance_ / estimate_variance_; }
+  // What an estimate says of its query's work against the class's mean, where costs aren't told.
+  double Relative(double estimate) const;
   void LearnWork(double estimate, double told);
-  double LearnPace(double time, double told_work);
+  void LearnTime(double estimate, double time);
+  void LearnRegression(double log_estimate, double log_work, double weight);
+  double LearnPace(double sample);
   void LearnMemory(double estimate_mb, double told_mb);
 
-  // Regression of the log of the true work on that of its estimate: means, variance, covariance.
+  // Regression of the log of the true work on that of its estimate: means, variance, covariance. Where costs
+  // aren't told, of the log of the time instead.
   double estimate_mean_ = 0, true_mean_ = 0, estimate_variance_ = 0.5, covariance_ = 0.5;
-  double deviation_ = 0.5;
-  int works_told_ = 0;
+  double deviation_;
+  int works_learnt_ = 0;
+  bool told_ = false;     // costs are told
+  double usual_log_ = 0;  // where they aren't: recent mean of the log of the time, estimates allowed for
   double mean_work_;
   double recent_ = 0;  // recent mean of the time (over the work, where it is told)
   double best_ = 0;    // the least recent mean seen
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -78,7 +78,7 @@
 // Runaway attempts.
 constexpr double kRunawayLeast = 2.5;   // times the expected duration, at the least
 constexpr double kRunawayMost = 8;      // and at the most
-constexpr double kRunawayLight = 4;     // for light classes: little is lost with one
+constexpr double kRunawayLight = 4;     // for light classes, unless their times scatter more: little is lost
 constexpr double kRunawayKeyed = 4;     // at the least for keyed ones: much is, and loads block each other
 constexpr double kRunawayNoted = 5;     // times the expected duration, as its notes project
 constexpr double kRunawaySpread = 2.5;  // deviations (of log work) that an honest attempt may stray
@@ -221,7 +221,8 @@
       loads_block_ = loads_block_ || c.blocked_by_loads;
       const std::size_t from =
           i < like.size() && like[i] >= 0 ? static_cast<std::size_t>(like[i]) : before.size();
-      const ClassEstimates unknown(Seconds(c.aim) / 3 * c.threads);  // an aim leaves some room
+      const ClassEstimates unknown(Seconds(c.aim) / 3 * c.threads,
+                                   set_.tells_cost);  // an aim leaves some room
       estimates_.push_back(from < before.size() ? before[from] : unknown);
     }
   }
@@ -595,7 +596,8 @@
   }
 
   // Light classes are counted apart, so that a few long queries don't shut out the many short ones.
-  bool Light(const Query& q) { return Estimates(q).mean_work() <= kLight * heaviest_; }
+  bool Light(const Query& q) const { return Light(q.in.klass); }
+  bool Light(std::size_t klass) const { return estimates_[klass].mean_work() <= kLight * heaviest_; }
 
   // The lighter of two random eligible engines, joined by the home of the query's table group.
   Engine* Choose(const Query& q) {
@@ -727,9 +729,9 @@
 
   Nanos RunawayAfter(const Query& q) {
     if (!set_.may_cancel || !MayRepeat(q) || (set_.progress_every > 0 && !Light(q))) return 0;
-    const double most = Light(q) ? kRunawayLight : kRunawayMost,
-                 spread = kRunawaySpread * Estimates(q).deviation();
-    const double times = std::clamp(1.5 * std::exp(spread), kRunawayLeast, most);
+    const double spread = std::exp(kRunawaySpread * Estimates(q).deviation());
+    const double most = Light(q) ? std::clamp(spread, kRunawayLight, kRunawayMost) : kRunawayMost;
+    const double times = std::clamp(1.5 * spread, kRunawayLeast, most);
     if (Class(q).effect != Effect::kKeyed) return ToNanos(ExpectedSeconds(q) * times);
     const auto e = engines_.find(q.engine);  // a cold one has a pace of its own
     const bool known = Estimates(q).known() && e != engines_.end() && !Cold(e->second);
--- a/tests/class_estimates_test.cpp
+++ b/tests/class_estimates_test.cpp
@@ -9,7 +9,7 @@
 namespace {
 
 TEST(ClassEstimates, BeforeAnyAnswerEstimatesAndTheAssumedWorkAreTaken) {
-  const ClassEstimates estimates(0.25);
+  const ClassEstimates estimates(0.25, false);
   EXPECT_NEAR(estimates.Work(0), 0.25, 1e-9);
   EXPECT_NEAR(estimates.Work(0.4), 0.4, 1e-9);
   EXPECT_NEAR(estimates.Time(0.4, true), 0.4, 1e-9);
@@ -17,7 +17,7 @@
 }
 
 TEST(ClassEstimates, ToldCostsCorrectEstimatesThatLieByClass) {
-  ClassEstimates estimates(0.25);
+  ClassEstimates estimates(0.25, true);
   for (int i = 0; i < 300; ++i) {
     const double work = 0.05 * std::exp(0.1 * (i % 10));
     estimates.Learn({.estimated_work = 3 * work, .told_work = work, .time = 2 * work});
@@ -27,15 +27,49 @@
   EXPECT_LT(estimates.deviation(), 0.1);
 }
 
+// Times that scatter by themselves and by what the estimate tells of them, on a fleet of a given pace.
+void LearnTimes(ClassEstimates& estimates, int answers, double pace) {
+  for (int i = 0; i < answers; ++i) {
+    const double work = 0.2 * std::exp(0.3 * (i % 5 - 2));
+    const double estimate = 3 * work * std::exp(0.6 * (i % 7 - 3));
+    estimates.Learn({.estimated_work = estimate, .time = pace * work});
+  }
+}
+
+TEST(ClassEstimates, WhereCostsAreUntoldTimesTellWhatEstimatesAreWorth) {
+  ClassEstimates estimates(1, false);
+  LearnTimes(estimates, 350, 1);
+  EXPECT_NEAR(estimates.Work(0.6), 0.2, 0.05);
+  EXPECT_GT(estimates.Work(0.06), 0.08) << "a scattered estimate is drawn towards the mean";
+  EXPECT_LT(estimates.Work(6), 0.6);
+  EXPECT_GT(estimates.deviation(), 0.2);
+  EXPECT_LT(estimates.deviation(), 0.5);
+}
+
+TEST(ClassEstimates, WithNoEstimatesTheSpreadOfTimesIsTheDeviation) {
+  ClassEstimates estimates(1, false);
+  for (int i = 0; i < 200; ++i) estimates.Learn({.time = 0.1 * std::exp(i % 2 == 0 ? 1.2 : -1.2)});
+  EXPECT_NEAR(estimates.deviation(), 1.2, 0.15);
+}
+
+TEST(ClassEstimates, ASlowFleetLengthensTimesAndLeavesWorkAsItWas) {
+  ClassEstimates estimates(1, false);
+  LearnTimes(estimates, 350, 1);
+  const double work = estimates.Work(0.6);
+  LearnTimes(estimates, 70, 3);
+  EXPECT_NEAR(estimates.Work(0.6), work, 0.15 * work);
+  EXPECT_NEAR(estimates.Time(work, false), 3 * work, 0.6 * work);
+}
+
 TEST(ClassEstimates, AnAnswerIsSetAgainstTheBestRecentMean) {
-  ClassEstimates estimates(0.25);
+  ClassEstimates estimates(0.25, false);
   for (int i = 0; i < 200; ++i) estimates.Learn({.told_work = 0.1, .time = 0.1});
   EXPECT_TRUE(estimates.known());
   EXPECT_NEAR(estimates.Learn({.told_work = 0.1, .time = 0.3}), 3, 0.1);
 }
 
 TEST(ClassEstimates, MemoryIsExpectedWithAMarginThatFewAnswersNarrow) {
-  ClassEstimates estimates(0.25);
+  ClassEstimates estimates(0.25, false);
   EXPECT_GT(estimates.MemoryMb(100), 120);
   for (int i = 0; i < 100; ++i)
     estimates.Learn({.time = 0.1, .estimated_memory_mb = 100, .told_memory_mb = 50});
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -307,7 +307,7 @@
   host.List({Ready(1, host.now), Ready(2)});
   for (RequestId id = 1; id <= 400; ++id) {
     host.Step({Ask(id)});
-    host.End(id, Outcome::kOk);
+    host.End(id, Outcome::kOk, 100 * kMs);  // as long as its estimate says
     host.now += kMs;
   }
   double sent = 0;
@@ -326,7 +326,7 @@
       host.List({Ready(1, host.now), Ready(2)});
       for (RequestId id = 1; id <= 400; ++id) {
         host.Step({Ask(id)});
-        host.End(id, Outcome::kOk);
+        host.End(id, Outcome::kOk, 100 * kMs);  // as long as its estimate says
         host.now += kMs;
       }
       for (const Host::Sent& x : host.sends) total += x.engine == 1;
@@ -699,6 +699,26 @@
   EXPECT_EQ(to_hung, 0);
 }
 
+// Boxoffice, calm+mass: a quarter of the light attempts were called off at 2.5 to 4 times what an estimate
+// said that lay by half and scattered, and their work was done again.
+TEST(Health, WhereCostsAreUntoldTheTimesTellHowFarAnHonestAttemptMayStray) {
+  Settings s = SomeSettings();
+  s.classes[0].deadline = 60 * kSecond;
+  s.may_cancel = true;
+  Host host(s);
+  host.List({Ready(1), Ready(2)});
+  for (RequestId id = 1; id <= 60; ++id) {  // neither is the other's hint
+    const double scatter = id % 2 == 0 ? 2.7 : 1 / 2.7;
+    host.Step({Ask(id, 0, 50 * kSecond, id % 4 < 2 ? 20 * kMs : 150 * kMs)});
+    host.End(id, Outcome::kOk, static_cast<Nanos>(scatter * 100 * kMs));
+  }
+  host.Step({Ask(100, 0, 50 * kSecond, 20 * kMs)});
+  host.RunUntil(host.now + 400 * kMs);
+  EXPECT_FALSE(host.cancels.contains(100)) << "others took nearly as long";
+  host.RunUntil(host.now + 3 * kSecond);
+  EXPECT_TRUE(host.cancels.contains(100)) << "it hangs";
+}
+
 // Found by a bench day that ended in a fault: a class that turns heavy while a light attempt of it runs lost
 // its time limit, and its check came due again and again within one step.
 TEST(Health, AClassThatTurnsHeavyLeavesNoEndlessCheck) {
