Measure what a request costs the decision module at sizes

Change: src/measure/decisions.{h,cpp}: one gateway in virtual time before engines that serve each attempt in its work's time, this thread's processor time within Gateway::Step.

--- /dev/null
+++ b/src/measure/decisions.cpp
@@ -0,0 +1,185 @@
+#include "measure/decisions.h"
+
+#include <time.h>
+
+#include <algorithm>
+#include <functional>
+#include <memory>
+#include <queue>
+#include <random>
+#include <unordered_map>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+
+namespace lemoncroft::measure {
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kTick = 5 * kMs;
+constexpr double kCores = 12;  // of an engine
+
+struct ClassOf {
+  double share, work;  // of the requests; mean seconds on one core
+  int threads;
+};
+constexpr ClassOf kClasses[] = {{0.80, 0.12, 1}, {0.14, 2.0, 2}, {0.06, 3.0, 2}};
+
+double MeanWork() {
+  double mean = 0;
+  for (const ClassOf& of : kClasses) mean += of.share * of.work;
+  return mean;
+}
+
+Settings SettingsOf(const DecisionPlan& plan) {
+  Settings s;
+  s.gateways = plan.gateways;
+  s.tick = kTick;
+  for (const ClassOf& of : kClasses) {
+    ClassSettings c;
+    c.aim = 3000 * kMs;
+    c.aim_stretch = 2.5;
+    c.deadline = 10'000 * kMs;
+    c.worth = of.work > 1 ? 10 : 1;
+    c.late_worth = 0.3;
+    c.threads = of.threads;
+    s.classes.push_back(c);
+  }
+  s.kinds = {{kCores, 24576}};
+  s.max_attempts = 3;
+  s.may_cancel = true;
+  s.tells_cost = true;
+  return s;
+}
+
+double ProcessorMicroseconds() {
+  timespec at{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+  return static_cast<double>(at.tv_sec) * 1e6 + static_cast<double>(at.tv_nsec) / 1e3;
+}
+
+// A gateway before engines that serve each attempt in its work's time, as an unloaded fleet does.
+class Mill {
+ public:
+  explicit Mill(const DecisionPlan& plan)
+      : plan_(plan), random_(plan.seed), gateway_(SettingsOf(plan), plan.seed) {
+    const double fleet = plan.load * kCores * static_cast<double>(plan.engines) / MeanWork();
+    rate_ = plan.requests_per_s > 0 ? plan.requests_per_s : fleet / plan.gateways;
+    std::vector<EngineEntry> list(plan.engines);
+    for (std::size_t i = 0; i < list.size(); ++i) list[i].engine = static_cast<EngineId>(i + 1);
+    events_.push_back(
+        EngineList{ListKind::kFull, std::make_shared<const std::vector<EngineEntry>>(std::move(list))});
+    Step();
+    spent_us_ = 0;
+  }
+
+  void Play(std::size_t requests) {
+    for (const std::size_t until = taken_ + requests; taken_ < until;) {
+      now_ += kTick;
+      for (due_ += rate_ * static_cast<double>(kTick) / 1e9; due_ >= 1; due_ -= 1) Take();
+      EndAttempts();
+      if (!events_.empty() || now_ >= wake_at_) Step();
+    }
+  }
+
+  double spent_us() const { return spent_us_; }
+  std::size_t steps() const { return steps_; }
+  std::size_t taken() const { return taken_; }
+  std::size_t served() const { return served_; }
+  std::size_t turned_away() const { return turned_away_; }
+
+ private:
+  struct Running {
+    Nanos ends = 0;
+    AttemptEnded end;
+    bool operator>(const Running& other) const { return ends > other.ends; }
+  };
+  struct Open {
+    double work = 0;  // seconds on one core
+    int threads = 1;
+    int attempts = 0;
+  };
+
+  double Draw() { return std::uniform_real_distribution<>(0, 1)(random_); }
+
+  void Take() {
+    Request r;
+    r.id = ++taken_;
+    double draw = Draw();
+    while (r.klass + 1u < std::size(kClasses) && draw >= kClasses[r.klass].share)
+      draw -= kClasses[r.klass++].share;
+    const ClassOf& of = kClasses[r.klass];
+    r.patience = 10'000 * kMs;
+    r.tables = static_cast<std::uint32_t>(random_() % plan_.table_groups);
+    const double work = of.work * std::exponential_distribution<>(1)(random_);
+    r.est_work = std::max<Nanos>(kMs, static_cast<Nanos>(work * 1e9));
+    open_[r.id] = {work, of.threads, 0};
+    events_.push_back(r);
+  }
+
+  void EndAttempts() {
+    for (; !running_.empty() && running_.top().ends <= now_; running_.pop()) {
+      events_.push_back(running_.top().end);
+      served_ += running_.top().end.finished;
+      open_.erase(running_.top().end.id);
+    }
+  }
+
+  void Step() {
+    actions_.clear();
+    const double before = ProcessorMicroseconds();
+    gateway_.Step(now_, events_, actions_);
+    spent_us_ += ProcessorMicroseconds() - before;
+    ++steps_;
+    events_.clear();
+    for (const Action& action : actions_) std::visit([this](const auto& a) { On(a); }, action);
+  }
+
+  void On(const Send& send) {
+    const auto it = open_.find(send.id);
+    if (it == open_.end()) return;
+    Open& open = it->second;
+    AttemptEnded end;
+    end.id = send.id;
+    end.attempt = open.attempts++;
+    end.engine = send.engine;
+    end.outcome = Outcome::kOk;
+    end.work = static_cast<Nanos>(open.work * 1e9);
+    end.waited = end.work / open.threads;
+    end.finished = true;
+    running_.push({now_ + end.waited, end});
+  }
+  void On(const Refuse& refuse) { TurnAway(refuse.id); }
+  void On(const Fail& fail) { TurnAway(fail.id); }
+  void On(const WakeAt& wake) { wake_at_ = wake.at; }
+  void On(const auto&) {}  // no more than its cost matters here
+
+  void TurnAway(RequestId id) { turned_away_ += open_.erase(id); }
+
+  DecisionPlan plan_;
+  std::mt19937_64 random_;
+  Gateway gateway_;
+  Nanos now_ = 1000 * 1000 * kMs, wake_at_ = kNoLimit;
+  double rate_ = 0, due_ = 0, spent_us_ = 0;
+  std::size_t taken_ = 0, served_ = 0, turned_away_ = 0, steps_ = 0;
+  std::vector<Event> events_;
+  std::vector<Action> actions_;
+  std::unordered_map<RequestId, Open> open_;
+  std::priority_queue<Running, std::vector<Running>, std::greater<>> running_;
+};
+
+}  // namespace
+
+DecisionCost CostOfDecisions(const DecisionPlan& plan) {
+  Mill mill(plan);
+  mill.Play(plan.requests);
+  const double spent = mill.spent_us();
+  const std::size_t steps = mill.steps(), taken = mill.taken();
+  mill.Play(plan.requests);
+  const double requests = static_cast<double>(mill.taken() - taken);
+  const double ended = static_cast<double>(mill.served() + mill.turned_away());
+  return {(mill.spent_us() - spent) / requests, static_cast<double>(mill.steps() - steps) / requests,
+          ended > 0 ? static_cast<double>(mill.served()) / ended : 0};
+}
+
+}  // namespace lemoncroft::measure
--- /dev/null
+++ b/src/measure/decisions.h
@@ -0,0 +1,33 @@
+// What one request costs the decision module, in processor time, by the number of engines before it.
+//
+// Contract. Deterministic decisions for a seed, in virtual time; the time measured is this thread's processor
+// time within Gateway::Step. Owner: none. Units: microseconds a request. Errors: none.
+#ifndef LEMONCROFT_MEASURE_DECISIONS_H_
+#define LEMONCROFT_MEASURE_DECISIONS_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace lemoncroft::measure {
+
+struct DecisionPlan {
+  std::uint64_t seed = 1;
+  std::size_t engines = 8;
+  int gateways = 1;             // of the fleet; the one measured has an even share of the requests
+  double requests_per_s = 0;    // of this gateway; 0: its share of `load` of the engines' capacity
+  double load = 0.8;            // of the engines' cores
+  std::size_t requests = 3000;  // measured, after as many to warm up
+  std::uint32_t table_groups = 40;
+};
+
+struct DecisionCost {
+  double us_per_request = 0;  // in all steps between the first and the last of the requests
+  double steps_per_request = 0;
+  double served_part = 0;  // of the requests that ended
+};
+
+DecisionCost CostOfDecisions(const DecisionPlan& plan);
+
+}  // namespace lemoncroft::measure
+
+#endif  // LEMONCROFT_MEASURE_DECISIONS_H_
