Keep the rendezvous orders of the listed engines by key, until the list changes

Change: src/subset/ranking_cache.h: RankingCache keeps, for each key asked for, the listed engines in their order, at most 2^20 pointers (8 MB) in all; subset::Mix is inline, since it is called for each engine where an order is made. Tests: same ranks as subset::Ranked for every key, of the allowed alone, anew once cleared, bounded for any number of keys; and by the module's interface that a list's change makes new orders (fails where the module does not clear them).

--- /dev/null
+++ b/src/subset/ranking_cache.h
@@ -0,0 +1,74 @@
+// The listed engines in rendezvous order, kept by key: a gateway ranks all of them for the table group of
+// each request, and neither the keys nor the engines change nearly as often as requests come.
+//
+// Contract. What Rank() does depends on the engines, the key and `allowed` alone. Its owner calls Clear()
+// whenever an engine comes, goes or changes its `listed`: the orders point to the engines. Bounded by
+// kPlacesMost pointers in all. Owner: one thread. Units: engines. Errors: none. Source: Thaler and
+// Ravishankar 1998.
+#ifndef LEMONCROFT_SUBSET_RANKING_CACHE_H_
+#define LEMONCROFT_SUBSET_RANKING_CACHE_H_
+
+#include <algorithm>
+#include <cstddef>
+#include <cstdint>
+#include <map>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+#include "subset/subset.h"
+
+namespace lemoncroft::subset {
+
+// `Engine` has the members `listed` and `rank`.
+template <typename Engine>
+class RankingCache {
+ public:
+  static constexpr std::size_t kPlacesMost = std::size_t{1} << 20;  // 8 MB
+
+  void Clear() {
+    orders_.clear();
+    places_ = 0;
+  }
+
+  // Numbers the allowed ones among the listed engines by their `rank`, the highest hash first: how many.
+  template <typename Allowed>
+  std::size_t Rank(std::map<EngineId, Engine>& engines, std::uint64_t key, const Allowed& allowed) {
+    std::size_t ranked = 0;
+    for (Engine* engine : Ordered(engines, key))
+      if (allowed(*engine)) engine->rank = ranked++;
+    return ranked;
+  }
+
+  std::size_t places() const { return places_; }
+
+ private:
+  const std::vector<Engine*>& Ordered(std::map<EngineId, Engine>& engines, std::uint64_t key) {
+    const auto known = orders_.find(key);
+    if (known != orders_.end()) return known->second;
+    if (places_ + engines.size() > kPlacesMost) Clear();
+    const std::vector<Engine*>& order = orders_.emplace(key, Sorted(engines, key)).first->second;
+    places_ += order.size();
+    return order;
+  }
+
+  static std::vector<Engine*> Sorted(std::map<EngineId, Engine>& engines, std::uint64_t key) {
+    std::vector<std::pair<std::uint64_t, Engine*>> hashes;
+    hashes.reserve(engines.size());
+    for (auto& [id, engine] : engines)
+      if (engine.listed) hashes.emplace_back(Mix(key ^ id), &engine);
+    std::sort(hashes.begin(), hashes.end(), [](const auto& a, const auto& b) { return a.first > b.first; });
+    std::vector<Engine*> order;
+    order.reserve(hashes.size());
+    for (const auto& [hash, engine] : hashes) order.push_back(engine);
+    return order;
+  }
+
+  std::unordered_map<std::uint64_t, std::vector<Engine*>> orders_;
+  std::size_t places_ = 0;  // in all orders
+};
+
+}  // namespace lemoncroft::subset
+
+#endif  // LEMONCROFT_SUBSET_RANKING_CACHE_H_
--- a/src/subset/subset.cpp
+++ b/src/subset/subset.cpp
@@ -23,14 +23,6 @@
   return ranked;
 }
 
-// splitmix64 (Steele, Lea, Flood 2014).
-std::uint64_t Mix(std::uint64_t x) {
-  x += 0x9e3779b97f4a7c15ULL;
-  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
-  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
-  return x ^ (x >> 31);
-}
-
 std::size_t Size(std::size_t engines, int gateways) {
   const double wanted = std::ceil(static_cast<double>(engines) * kShared / std::max(1, gateways));
   return std::min(engines, std::max(kSubsetLeast, static_cast<std::size_t>(wanted)));
--- a/src/subset/subset.h
+++ b/src/subset/subset.h
@@ -15,8 +15,13 @@
 
 namespace lemoncroft::subset {
 
-// A mixing function, so that all gateways rank engines alike.
-std::uint64_t Mix(std::uint64_t x);
+// A mixing function, so that all gateways rank engines alike: splitmix64 (Steele, Lea, Flood 2014).
+inline std::uint64_t Mix(std::uint64_t x) {
+  x += 0x9e3779b97f4a7c15ULL;
+  x = (x ^ (x >> 30)) * 0xbf58476d1ce4e5b9ULL;
+  x = (x ^ (x >> 27)) * 0x94d049bb133111ebULL;
+  return x ^ (x >> 31);
+}
 
 // The engines in an order that only they and the key make.
 std::vector<EngineId> Ranked(const std::vector<EngineId>& engines, std::uint64_t key);
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -6,6 +6,7 @@
 #include <map>
 #include <set>
 
+#include "subset/ranking_cache.h"
 #include "subset/subset.h"
 
 namespace lemoncroft {
@@ -1076,6 +1077,101 @@
   EXPECT_GT(EnginesUsed(s, 1, 60).size(), 30u) << "two gateways share every engine";
 }
 
+struct RankedEngine {
+  bool listed = true;
+  std::size_t rank = 0;
+};
+using RankedEngines = std::map<EngineId, RankedEngine>;
+
+RankedEngines EnginesTo(EngineId last) {
+  RankedEngines engines;
+  for (EngineId id = 1; id <= last; ++id) engines[id * 977] = {};
+  return engines;
+}
+
+// The engines in the order that the ranks give.
+std::vector<EngineId> ByRank(const RankedEngines& engines, std::size_t ranked) {
+  std::vector<EngineId> order(ranked);
+  for (const auto& [id, engine] : engines)
+    if (engine.listed && engine.rank < ranked) order[engine.rank] = id;
+  return order;
+}
+
+std::vector<EngineId> Listed(const RankedEngines& engines) {
+  std::vector<EngineId> listed;
+  for (const auto& [id, engine] : engines)
+    if (engine.listed) listed.push_back(id);
+  return listed;
+}
+
+TEST(RankingCache, RanksAsRendezvousHashingDoesForEveryKey) {
+  RankedEngines engines = EnginesTo(200);
+  subset::RankingCache<RankedEngine> cache;
+  for (const std::uint64_t key : {1u, 2u, 1u, 3u, 2u}) {
+    const std::size_t ranked = cache.Rank(engines, key, [](const RankedEngine&) { return true; });
+    EXPECT_EQ(ByRank(engines, ranked), subset::Ranked(Listed(engines), key)) << key;
+  }
+}
+
+TEST(RankingCache, RanksTheAllowedAlone) {
+  RankedEngines engines = EnginesTo(200);
+  subset::RankingCache<RankedEngine> cache;
+  const auto is_even = [&](EngineId id) { return id % 2 == 0; };
+  std::vector<EngineId> even;
+  for (const EngineId id : Listed(engines))
+    if (is_even(id)) even.push_back(id);
+  std::map<const RankedEngine*, EngineId> id_of;
+  for (auto& [id, engine] : engines) engine.rank = 1000, id_of[&engine] = id;
+  const std::size_t ranked =
+      cache.Rank(engines, 7, [&](const RankedEngine& engine) { return is_even(id_of.at(&engine)); });
+  EXPECT_EQ(ByRank(engines, ranked), subset::Ranked(even, 7));
+}
+
+TEST(RankingCache, RanksAnewOnceCleared) {
+  RankedEngines engines = EnginesTo(200);
+  subset::RankingCache<RankedEngine> cache;
+  const auto all = [](const RankedEngine&) { return true; };
+  EXPECT_EQ(cache.Rank(engines, 7, all), 200u);
+  engines.begin()->second.listed = false;
+  cache.Clear();
+  const std::size_t ranked = cache.Rank(engines, 7, all);
+  EXPECT_EQ(ranked, 199u);
+  EXPECT_EQ(ByRank(engines, ranked), subset::Ranked(Listed(engines), 7));
+}
+
+TEST(RankingCache, IsBoundedHoweverManyKeysThereAre) {
+  RankedEngines engines = EnginesTo(4400);
+  subset::RankingCache<RankedEngine> cache;
+  const std::size_t keys = 2 * cache.kPlacesMost / engines.size();
+  for (std::uint64_t key = 0; key < keys; ++key) {
+    cache.Rank(engines, key, [](const RankedEngine&) { return true; });
+    ASSERT_LE(cache.places(), cache.kPlacesMost);
+  }
+}
+
+// Loads go to the last half of the order alone: an engine that came after the order was made has its place.
+TEST(RankingCache, TheModuleRanksAnewWhenTheListChanges) {
+  Settings s = SomeSettings();
+  s.gateways = 1;
+  ClassSettings load = SomeClass(), reader = SomeClass();
+  load.holds_tables = true;
+  reader.blocked_by_loads = true;
+  s.classes = {load, reader};
+  Host host(s);
+  host.List({Ready(1), Ready(2)});
+  Request first = Ask(1), second = Ask(2);
+  first.tables = second.tables = 5;
+  host.Step({first});
+  ASSERT_TRUE(host.engine_of.contains(1));
+  host.End(1, Outcome::kOk);
+  std::vector<EngineEntry> changed;
+  for (EngineId id = 1; id <= 10; ++id) changed.push_back(Ready(id));
+  changed[0].readiness = changed[1].readiness = Readiness::kDraining;
+  host.List(changed);
+  host.Step({second});
+  EXPECT_TRUE(host.engine_of.contains(2)) << "three of the five that take loads are ready";
+}
+
 // By place every engine is in as many subsets as any other, but for one, and little moves when one comes or
 // goes.
 TEST(Subset, ByPlaceIsEvenAndMovesLittle) {
