--- a/src/standin/fleet.cpp
+++ b/src/standin/fleet.cpp
@@ -28,6 +28,18 @@
   engines_.erase(it);
 }
 
+void Fleet::SetSpeed(Engine engine, double speed) {
+  const auto it = engines_.find(engine);
+  if (it == engines_.end() || it->second.speed == speed) return;
+  it->second.speed = speed;
+  Share(it->second);
+}
+
+double Fleet::Left(const Key& key) const {
+  const auto it = where_.find(key);
+  return it == where_.end() ? 0 : engines_.at(it->second).runs.at(key).left;
+}
+
 double Fleet::cores() const {
   double sum = 0;
   for (const auto& [id, machine] : engines_) sum += machine.cores;
--- a/src/standin/fleet.h
+++ b/src/standin/fleet.h
@@ -42,12 +42,14 @@
 
   void Add(Engine engine, double cores, double speed);
   void Remove(Engine engine, std::vector<Finished>& out);  // what ran there is lost
+  void SetSpeed(Engine engine, double speed);
   bool Has(Engine engine) const { return engines_.contains(engine); }
   double cores() const;
 
   bool Start(const Load& load);  // false where there is no such engine
   bool Stop(const Key& key);     // false where it does not run
   void Reprioritise(const Key& key, int priority);
+  double Left(const Key& key) const;  // core-seconds; 0 where it does not run
 
   // Plays on to `now` (seconds); appends what ended, in order of time.
   void Advance(double now, std::vector<Finished>& out);
