--- /dev/null
+++ b/src/standin/rule_checker.h
@@ -0,0 +1,107 @@
+// Checks what the gateways of a site do against the site's rules, from the outside: it hears of every
+// request, attempt, answer and list, and keeps a line of text for each breach.
+//
+// Contract. Deterministic; the caller's times never run backwards. It judges and changes nothing.
+#ifndef LEMONCROFT_STANDIN_RULE_CHECKER_H_
+#define LEMONCROFT_STANDIN_RULE_CHECKER_H_
+
+#include <cstddef>
+#include <cstdint>
+#include <deque>
+#include <map>
+#include <string>
+#include <utility>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+#include "standin/site_shapes.h"
+
+namespace lemoncroft::standin {
+
+// How an engine has been for the check that nothing waits while engines idle.
+struct IdleEngine {
+  EngineId engine = 0;
+  Nanos since = 0;
+};
+
+class RuleChecker {
+ public:
+  explicit RuleChecker(const Site& site);
+
+  void Listed(Nanos now, int gateway, const std::vector<EngineEntry>& entries);
+  void Taken(Nanos now, int gateway, const Request& request);
+  void Sent(Nanos now, const Send& send);
+  void Ended(Nanos now, RequestId id, int attempt, Outcome outcome);
+  void Cancelled(Nanos now, const Cancel& cancel);
+  void Probed(Nanos now, const Probe& probe);
+  void Termed(Nanos now, const Terms& terms);
+  void Served(Nanos now, RequestId id);
+  void Refused(Nanos now, const Refuse& refuse);
+  void Failed(Nanos now, const Fail& fail);
+  void Withdrawn(Nanos now, RequestId id);
+  // The client has waited to the end: from now on nobody waits for an answer.
+  void GaveUp(Nanos now, RequestId id);
+  // `avoided`: for each gateway, the engines that it leaves out for a while by its own choice.
+  void CheckIdle(Nanos now, const std::vector<IdleEngine>& idle,
+                 const std::vector<std::vector<EngineId>>& avoided);
+
+  bool Open(RequestId id) const { return open_.contains(id); }
+  std::size_t open() const { return open_.size(); }
+  std::size_t count() const { return count_; }
+  const std::vector<std::string>& breaches() const { return breaches_; }  // the first of them
+
+ private:
+  struct Attempt {
+    EngineId engine = 0;
+    Nanos sent_at = 0;
+    bool out = true;
+    bool may_have_run = true;
+  };
+  struct Life {
+    Request request;
+    int gateway = 0;
+    Nanos deadline = 0;
+    Nanos waits_since = 0;
+    std::vector<Attempt> attempts;
+    bool answered = false;
+    bool idle_told = false;
+    bool out() const;
+  };
+  struct KeyLine {
+    std::deque<RequestId> order;
+    Nanos rest_until = 0;
+  };
+  struct GatewayState {
+    std::map<EngineId, EngineEntry> listed;
+    std::map<EngineId, Nanos> barred_since;  // told to drain or gone
+    std::deque<Nanos> taken, further;
+    std::map<std::uint64_t, KeyLine> keys;
+  };
+
+  void Breach(Nanos now, RequestId id, const std::string& what);
+  Life* Find(Nanos now, RequestId id, const char* what);
+  const ClassSettings& Class(const Life& life) const { return site_.settings.classes[life.request.klass]; }
+  bool Ordered(const Life& life) const { return Class(life).in_order && life.request.key != 0; }
+  void Answered(Nanos now, RequestId id, Life& life);
+  void Leave(Nanos now, RequestId id);  // once it is over and nothing of it is out
+  bool SameGroup(const Life& life, EngineId a, EngineId b) const;
+  std::size_t BudgetLeft(Nanos now, GatewayState& gateway) const;
+  void CheckAttempts(Nanos now, const Life& life);
+  void CheckRepeat(Nanos now, const Life& life, EngineId engine);
+  void CheckOrder(Nanos now, const Life& life);
+  void CheckPlace(Nanos now, const Life& life, EngineId engine);
+  void CheckBudget(Nanos now, const Life& life);
+  bool MayWait(Nanos now, const Life& life);
+  bool MayTake(Nanos now, const Life& life, EngineId engine);
+
+  const Site& site_;
+  std::vector<GatewayState> gateways_;
+  std::map<RequestId, Life> lives_;  // until nothing of them is out any more
+  std::map<RequestId, int> open_;    // taken and without an answer; with their gateways
+  std::size_t count_ = 0;
+  std::vector<std::string> breaches_;
+};
+
+}  // namespace lemoncroft::standin
+
+#endif  // LEMONCROFT_STANDIN_RULE_CHECKER_H_
--- /dev/null
+++ b/src/standin/site_shapes.cpp
@@ -0,0 +1,371 @@
+#include "standin/site_shapes.h"
+
+#include <algorithm>
+#include <numeric>
+#include <random>
+#include <set>
+#include <stdexcept>
+#include <utility>
+
+namespace lemoncroft::standin {
+namespace {
+
+constexpr Nanos kMs = 1'000'000;
+constexpr Nanos kSecond = 1000 * kMs;
+constexpr int kCandidates = 20;     // shapes tried for each that is taken
+constexpr double kKeyLoad = 0.1;    // share of the time that a key's requests are under way
+constexpr double kMemoryUse = 0.4;  // of an engine's memory at full load
+constexpr double kMemoryPerCoreMb = 2048;
+constexpr double kWorkBiasMost = 1.3;    // powers of two by which a class's rough estimates may lie
+constexpr double kMemoryBiasMost = 0.5;  // likewise
+constexpr double kQuotaMargin = 2;       // a tenant's quota over its mean rate
+constexpr double kRestartMost = 0.25;    // share of what a class may use that one engine may be to restart
+constexpr double kPlacedPerCell = 2;     // engines of a zone in one cell
+
+const std::vector<DimensionInfo>& Table() {
+  static const std::vector<DimensionInfo> table = {
+      {"mix", {"one class", "light and heavy", "three classes"}},
+      {"marked class", {"lightest", "heaviest"}},  // the one that order, effect and placement are about
+      {"order", {"none", "by key"}},
+      {"effect", {"safe", "keyed", "unsafe"}},
+      {"repeat group", {"all", "zone", "cell"}},
+      {"bound", {"none", "zone", "kind"}},
+      {"loads", {"none", "loads", "loads block readers"}},  // the heaviest class
+      {"attempt budget", {"none", "present"}},
+      {"second copies", {"not allowed", "allowed"}},
+      {"retry advice", {"not allowed", "allowed"}},
+      {"attempts", {"1", "2", "3", "5"}},
+      {"reports", {"none", "in answers", "in probes only", "promised, never come", "stop coming"}},
+      {"report fields", {"inflight, x0, x1", "util", "queue, inflight"}},
+      {"estimates", {"good", "rough", "none"}},
+      {"costs", {"told", "untold"}},
+      {"memory short", {"queue", "trim", "swap"}},
+      {"grants", {"heeded", "not heeded"}},
+      {"priorities", {"heeded", "not heeded"}},
+      {"probes", {"allowed", "not allowed"}},
+      {"cancel", {"allowed", "allowed, work goes on", "not allowed"}},
+      {"progress notes", {"none", "each second"}},
+      {"tenants", {"0", "1", "4"}},
+      {"zones", {"1", "3", "8"}},
+      {"engines", {"2", "8", "40"}},
+      {"gateways", {"1", "3", "8"}},
+  };
+  return table;
+}
+
+std::size_t Values(std::size_t dimension) { return Table()[dimension].values.size(); }
+
+// ---- Pairwise drawing ----
+
+struct Choice {
+  std::size_t dimension = 0;
+  std::size_t value = 0;
+  auto operator<=>(const Choice&) const = default;
+};
+using Pair = std::pair<Choice, Choice>;  // that of the lower dimension first
+
+Pair Ordered(Choice a, Choice b) { return a.dimension < b.dimension ? Pair{a, b} : Pair{b, a}; }
+
+std::set<Pair> AllPairs() {
+  std::set<Pair> pairs;
+  for (std::size_t a = 0; a < kDimensions; ++a)
+    for (std::size_t b = a + 1; b < kDimensions; ++b)
+      for (std::size_t x = 0; x < Values(a); ++x)
+        for (std::size_t y = 0; y < Values(b); ++y) pairs.insert({{a, x}, {b, y}});
+  return pairs;
+}
+
+std::size_t CountIn(const std::set<Pair>& open, const std::vector<Choice>& chosen, Choice next) {
+  return static_cast<std::size_t>(std::count_if(
+      chosen.begin(), chosen.end(), [&](Choice other) { return open.contains(Ordered(other, next)); }));
+}
+
+// One shape that starts with an open pair; each further dimension takes the value that closes most pairs.
+std::vector<Choice> Candidate(const std::set<Pair>& open, std::mt19937_64& random) {
+  const Pair start = *std::next(open.begin(), static_cast<std::ptrdiff_t>(random() % open.size()));
+  std::vector<Choice> chosen = {start.first, start.second};
+  std::vector<std::size_t> rest;
+  for (std::size_t d = 0; d < kDimensions; ++d)
+    if (d != start.first.dimension && d != start.second.dimension) rest.push_back(d);
+  std::shuffle(rest.begin(), rest.end(), random);
+  for (const std::size_t dimension : rest) {
+    const std::size_t offset = random() % Values(dimension);
+    Choice best;
+    std::size_t most = 0;
+    for (std::size_t i = 0; i < Values(dimension); ++i) {
+      const Choice next{dimension, (i + offset) % Values(dimension)};
+      const std::size_t closed = CountIn(open, chosen, next);
+      if (i == 0 || closed > most) best = next, most = closed;
+    }
+    chosen.push_back(best);
+  }
+  return chosen;
+}
+
+std::vector<Pair> PairsOf(const std::vector<Choice>& chosen) {
+  std::vector<Pair> pairs;
+  for (std::size_t i = 0; i < chosen.size(); ++i)
+    for (std::size_t j = i + 1; j < chosen.size(); ++j) pairs.push_back(Ordered(chosen[i], chosen[j]));
+  return pairs;
+}
+
+// ---- Building a site ----
+
+struct ClassPlan {
+  double share;
+  double work;  // mean, core-seconds
+  int threads;
+  Nanos aim;
+  Nanos deadline;
+  double worth;
+  double memory;  // against the other classes
+};
+
+std::vector<ClassPlan> Mix(const SiteShape& shape) {
+  if (shape.Is(Dimension::kMix, "one class")) return {{1, 0.25, 1, kSecond, 6 * kSecond, 1, 1}};
+  if (shape.Is(Dimension::kMix, "light and heavy"))
+    return {{0.85, 0.15, 1, 800 * kMs, 5 * kSecond, 1, 0.5},
+            {0.15, 1.5, 2, 3 * kSecond, 15 * kSecond, 5, 1.5}};
+  return {{0.80, 0.1, 1, 600 * kMs, 4 * kSecond, 1, 0.5},
+          {0.15, 0.5, 2, 2 * kSecond, 10 * kSecond, 4, 1},
+          {0.05, 2.5, 4, 6 * kSecond, 25 * kSecond, 12, 1.5}};
+}
+
+int Number(const SiteShape& shape, Dimension dimension) {
+  return std::stoi(std::string(shape.value(dimension)));
+}
+
+std::vector<ReportField> Fields(const SiteShape& shape) {
+  if (shape.Is(Dimension::kReports, "none")) return {};
+  if (shape.Is(Dimension::kReportFields, "util")) return {ReportField::kUtil};
+  if (shape.Is(Dimension::kReportFields, "queue, inflight"))
+    return {ReportField::kQueue, ReportField::kInflight};
+  return {ReportField::kInflight, ReportField::kX0, ReportField::kX1};
+}
+
+void MarkClass(const SiteShape& shape, ClassSettings& marked) {
+  marked.in_order = shape.Is(Dimension::kOrder, "by key");
+  marked.effect = static_cast<Effect>(shape.at(Dimension::kEffect));
+  marked.group = static_cast<RepeatGroup>(shape.at(Dimension::kGroup));
+  marked.repeat_window = marked.effect == Effect::kKeyed ? 10 * kSecond : 0;
+  if (shape.Is(Dimension::kBound, "zone")) marked.zones = {0};
+  if (shape.Is(Dimension::kBound, "kind")) marked.kinds = {0};
+}
+
+std::vector<ClassSettings> Classes(const SiteShape& shape) {
+  std::vector<ClassSettings> classes;
+  for (const ClassPlan& plan : Mix(shape)) {
+    ClassSettings c;
+    c.aim = plan.aim;
+    c.aim_stretch = 2;
+    c.deadline = plan.deadline;
+    c.worth = plan.worth;
+    c.late_worth = 0.3;
+    c.threads = plan.threads;
+    c.blocked_by_loads = shape.Is(Dimension::kLoads, "loads block readers");
+    classes.push_back(c);
+  }
+  if (!shape.Is(Dimension::kLoads, "none")) {
+    classes.back().holds_tables = true;
+    classes.back().blocked_by_loads = false;
+  }
+  MarkClass(shape, shape.Is(Dimension::kMarked, "lightest") ? classes.front() : classes.back());
+  return classes;
+}
+
+Settings SettingsOf(const SiteShape& shape) {
+  Settings s;
+  s.gateways = Number(shape, Dimension::kGateways);
+  s.tick = 5 * kMs;
+  s.classes = Classes(shape);
+  s.report_fields = Fields(shape);
+  s.over_share_worth = 0.2;
+  s.drain_grace = 250 * kMs;
+  s.cold_from = 0.33;
+  s.warm_within = 10 * kSecond;
+  s.overload_multiple = 4;
+  s.fall_window = 2 * kSecond;
+  s.order_settle = 300 * kMs;
+  if (shape.Is(Dimension::kBudget, "present")) s.attempt_budget = AttemptBudget{4, 0.1, 10 * kSecond};
+  s.may_cancel = !shape.Is(Dimension::kCancel, "not allowed");
+  s.may_probe = shape.Is(Dimension::kProbes, "allowed");
+  s.may_copy = shape.Is(Dimension::kCopies, "allowed");
+  s.may_advise = shape.Is(Dimension::kAdvice, "allowed");
+  s.max_attempts = Number(shape, Dimension::kAttempts);
+  s.max_come_back = kSecond;
+  s.connect_timeout = 250 * kMs;
+  s.grants_heeded = shape.Is(Dimension::kGrants, "heeded");
+  s.priorities_heeded = shape.Is(Dimension::kPriorities, "heeded");
+  s.max_grant_share = 0.5;
+  s.memory_short = static_cast<MemoryShort>(shape.at(Dimension::kMemoryShort));
+  s.progress_every = shape.Is(Dimension::kNotes, "each second") ? kSecond : 0;
+  s.tells_cost = shape.Is(Dimension::kCosts, "told");
+  return s;
+}
+
+std::vector<KindSettings> Kinds() { return {{8, 8 * kMemoryPerCoreMb}, {16, 16 * kMemoryPerCoreMb}}; }
+
+void AddEngines(Site& site) {
+  const int engines = Number(site.shape, Dimension::kEngines);
+  const int zones = Number(site.shape, Dimension::kZones);
+  const Settings& s = site.settings;
+  for (int i = 0; i < engines; ++i) {
+    EngineEntry entry;
+    entry.engine = static_cast<EngineId>(i + 1);
+    entry.zone = static_cast<std::uint16_t>(i % zones);
+    entry.kind = i % 3 == 0 ? 1 : 0;
+    const int placed = static_cast<int>((i / zones) / kPlacedPerCell);  // within its zone
+    entry.cell = static_cast<std::uint16_t>(placed * zones + entry.zone);
+    site.engines.push_back(entry);
+    EngineTraits traits;
+    traits.cores = s.kinds[entry.kind].cores;
+    traits.memory_mb = s.kinds[entry.kind].memory_mb;
+    traits.sessions = static_cast<std::size_t>(8 * traits.cores);
+    traits.memory_short = s.memory_short;
+    traits.grants_heeded = s.grants_heeded;
+    traits.priorities_heeded = s.priorities_heeded;
+    traits.cold_from = s.cold_from;
+    traits.warm_within = s.warm_within;
+    traits.report_every = 400 * kMs;
+    traits.report_delay = 150 * kMs;
+    traits.report_fields = s.report_fields;
+    site.traits.push_back(traits);
+  }
+}
+
+void AddPlacement(Site& site) {
+  const auto within = [](const std::vector<std::uint16_t>& places, std::uint16_t place) {
+    return places.empty() || std::find(places.begin(), places.end(), place) != places.end();
+  };
+  for (const ClassSettings& c : site.settings.classes) {
+    std::vector<EngineId> engines;
+    for (const EngineEntry& e : site.engines)
+      if (within(c.zones, e.zone) && within(c.kinds, e.kind)) engines.push_back(e.engine);
+    site.may_take.push_back(engines);
+  }
+}
+
+double Cores(const Site& site, const std::vector<EngineId>& engines) {
+  double sum = 0;
+  for (const EngineId id : engines) sum += site.traits[id - 1].cores;
+  return sum;
+}
+
+// Memory by Little's law: at full load the queries that run need the usual share of it in the mean.
+void AddTraffic(Site& site, std::mt19937_64& random) {
+  const std::vector<ClassPlan> mix = Mix(site.shape);
+  double work = 0, memory = 0;  // of a mean request, the memory times how long it is needed
+  for (const ClassPlan& plan : mix) {
+    work += plan.share * plan.work;
+    memory += plan.share * plan.work / plan.threads * plan.memory;
+  }
+  std::uniform_real_distribution<> lie(-1, 1);
+  for (const ClassPlan& plan : mix) {
+    ClassTraffic t;
+    t.share = plan.share;
+    t.work = plan.work;
+    t.memory_mb = kMemoryUse * kMemoryPerCoreMb * work / memory * plan.memory;
+    t.work_bias = std::exp2(kWorkBiasMost * lie(random));
+    t.memory_bias = std::exp2(kMemoryBiasMost * lie(random));
+    site.traffic.push_back(t);
+  }
+}
+
+void SetRate(Site& site, double load) {
+  double mean = 0;
+  for (const ClassTraffic& t : site.traffic) mean += t.share * t.work;
+  std::vector<EngineId> all(site.engines.size());
+  std::iota(all.begin(), all.end(), 1);
+  double cores = Cores(site, all);  // as if all work could go anywhere
+  for (std::size_t i = 0; i < site.traffic.size(); ++i) {
+    const double part = site.traffic[i].share * site.traffic[i].work / mean;
+    cores = std::min(cores, Cores(site, site.may_take[i]) / part);
+  }
+  site.rate = load * cores / mean;
+  for (std::size_t i = 0; i < site.traffic.size(); ++i) {
+    const ClassSettings& c = site.settings.classes[i];
+    if (!c.in_order) continue;
+    const double under_way = site.rate * site.traffic[i].share * site.traffic[i].work / c.threads;
+    site.keys = static_cast<std::uint64_t>(std::max(4.0, under_way / kKeyLoad));
+  }
+}
+
+void AddTenants(Site& site) {
+  const int tenants = Number(site.shape, Dimension::kTenants);
+  const double quota = tenants > 1 ? kQuotaMargin * site.rate / tenants : 0;
+  site.settings.tenants.assign(static_cast<std::size_t>(tenants), TenantSettings{quota});
+}
+
+// The day stays calm without the engine: for each class it is a small part of what the class may use.
+void ChooseRestarted(Site& site) {
+  for (std::size_t i = 0; i < site.engines.size() && !site.restarted; ++i) {
+    bool small = true;
+    for (const auto& engines : site.may_take) {
+      const bool in = std::find(engines.begin(), engines.end(), site.engines[i].engine) != engines.end();
+      small = small && (!in || site.traits[i].cores <= kRestartMost * Cores(site, engines));
+    }
+    if (small) site.restarted = i;
+  }
+}
+
+}  // namespace
+
+const DimensionInfo& Info(Dimension dimension) { return Table().at(static_cast<std::size_t>(dimension)); }
+
+bool SiteShape::Is(Dimension dimension, std::string_view wanted) const {
+  const auto& values = Info(dimension).values;
+  const auto it = std::find(values.begin(), values.end(), wanted);
+  if (it == values.end()) throw std::out_of_range("no such value: " + std::string(wanted));
+  return at(dimension) == static_cast<std::size_t>(it - values.begin());
+}
+
+std::string SiteShape::Describe() const {
+  std::string text;
+  for (std::size_t i = 0; i < kDimensions; ++i) {
+    const auto dimension = static_cast<Dimension>(i);
+    text += (i == 0 ? "" : "; ") + std::string(Info(dimension).name) + ": " + std::string(value(dimension));
+  }
+  return text;
+}
+
+std::vector<SiteShape> DrawPairwise(std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  std::set<Pair> open = AllPairs();
+  std::vector<SiteShape> shapes;
+  while (!open.empty()) {
+    std::vector<Choice> best;
+    std::size_t most = 0;
+    for (int i = 0; i < kCandidates; ++i) {
+      const std::vector<Choice> candidate = Candidate(open, random);
+      const std::vector<Pair> pairs = PairsOf(candidate);
+      const auto closed = static_cast<std::size_t>(
+          std::count_if(pairs.begin(), pairs.end(), [&](const Pair& pair) { return open.contains(pair); }));
+      if (closed > most) best = candidate, most = closed;
+    }
+    for (const Pair& pair : PairsOf(best)) open.erase(pair);
+    SiteShape shape;
+    for (const Choice& choice : best) shape.Set(static_cast<Dimension>(choice.dimension), choice.value);
+    shapes.push_back(shape);
+  }
+  return shapes;
+}
+
+Site BuildSite(const SiteShape& shape, double load, std::uint64_t seed) {
+  std::mt19937_64 random(seed);
+  Site site;
+  site.shape = shape;
+  site.settings = SettingsOf(shape);
+  site.settings.kinds = Kinds();
+  AddEngines(site);
+  AddPlacement(site);
+  AddTraffic(site, random);
+  SetRate(site, load);
+  AddTenants(site);
+  ChooseRestarted(site);
+  site.reports = static_cast<ReportWay>(shape.at(Dimension::kReports));
+  site.estimates = static_cast<EstimateQuality>(shape.at(Dimension::kEstimates));
+  site.cancel_honoured = !shape.Is(Dimension::kCancel, "allowed, work goes on");
+  return site;
+}
+
+}  // namespace lemoncroft::standin
--- /dev/null
+++ b/src/standin/site_shapes.h
@@ -0,0 +1,106 @@
+// Sites of many shapes: settings of a deployment and the fleet of engines behind it, drawn so that every pair
+// of values of two dimensions appears in at least one site (pairwise testing).
+//
+// Contract. Deterministic by seed. A shape chooses one value of each dimension; `BuildSite` turns it into the
+// decision module's settings and into what the stand-in engines and clients do.
+#ifndef LEMONCROFT_STANDIN_SITE_SHAPES_H_
+#define LEMONCROFT_STANDIN_SITE_SHAPES_H_
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+#include "standin/query_engine.h"
+
+namespace lemoncroft::standin {
+
+enum class Dimension : std::size_t {
+  kMix,
+  kMarked,
+  kOrder,
+  kEffect,
+  kGroup,
+  kBound,
+  kLoads,
+  kBudget,
+  kCopies,
+  kAdvice,
+  kAttempts,
+  kReports,
+  kReportFields,
+  kEstimates,
+  kCosts,
+  kMemoryShort,
+  kGrants,
+  kPriorities,
+  kProbes,
+  kCancel,
+  kNotes,
+  kTenants,
+  kZones,
+  kEngines,
+  kGateways,
+  kCount
+};
+inline constexpr std::size_t kDimensions = static_cast<std::size_t>(Dimension::kCount);
+
+struct DimensionInfo {
+  std::string_view name;
+  std::vector<std::string_view> values;
+};
+const DimensionInfo& Info(Dimension dimension);
+
+class SiteShape {
+ public:
+  std::size_t at(Dimension dimension) const { return values_[static_cast<std::size_t>(dimension)]; }
+  void Set(Dimension dimension, std::size_t value) { values_[static_cast<std::size_t>(dimension)] = value; }
+  std::string_view value(Dimension dimension) const { return Info(dimension).values.at(at(dimension)); }
+  // Throws std::out_of_range where the dimension has no such value.
+  bool Is(Dimension dimension, std::string_view value) const;
+  std::string Describe() const;  // all dimensions with their values, on one line
+
+ private:
+  std::array<std::size_t, kDimensions> values_{};
+};
+
+// Shapes that contain every pair of values of every two dimensions.
+std::vector<SiteShape> DrawPairwise(std::uint64_t seed);
+
+// What the queries of a class are like, beside what the settings tell of it.
+struct ClassTraffic {
+  double share = 1;        // of all requests
+  double work = 0.1;       // mean, core-seconds
+  double memory_mb = 256;  // mean
+  double work_bias = 1;    // by which the class's rough estimates lie
+  double memory_bias = 1;  // likewise
+};
+
+enum class ReportWay { kNone, kAnswers, kProbesOnly, kNever, kStops };
+enum class EstimateQuality { kGood, kRough, kNone };
+
+struct Site {
+  SiteShape shape;
+  Settings settings;  // of gateway 0; the others differ in `self` and `zone`
+  std::vector<EngineEntry> engines;
+  std::vector<EngineTraits> traits;  // of each engine
+  std::vector<ClassTraffic> traffic;
+  std::vector<std::vector<EngineId>> may_take;  // for each class, the engines that its placement allows
+  double rate = 0;                              // requests a second, over all gateways
+  std::uint64_t keys = 1;                       // different keys of the classes in order
+  ReportWay reports = ReportWay::kNone;
+  EstimateQuality estimates = EstimateQuality::kGood;
+  bool cancel_honoured = true;
+  std::optional<std::size_t> restarted;  // the engine that drains and comes back cold during the day
+};
+
+// `load`: of the cores of the engines, and of those that a bound class may use.
+Site BuildSite(const SiteShape& shape, double load, std::uint64_t seed);
+
+}  // namespace lemoncroft::standin
+
+#endif  // LEMONCROFT_STANDIN_SITE_SHAPES_H_
