--- /dev/null
+++ b/tests/shapes_test.cpp
@@ -0,0 +1,97 @@
+// The decision module on sites of many shapes, in virtual time: every pair of values of two dimensions of the
+// settings appears on at least one of the sites. On each a calm day is played against stand-in engines.
+#include <gtest/gtest.h>
+
+#include <set>
+#include <string>
+#include <tuple>
+#include <vector>
+
+#include "standin/site_day.h"
+#include "standin/site_shapes.h"
+
+namespace lemoncroft::standin {
+namespace {
+
+constexpr std::uint64_t kSeed = 20261202;
+constexpr Nanos kDay = 40'000'000'000;
+constexpr double kCalmLoad = 0.45;  // of the cores
+
+// A calm day's floor, from theory. Where cores are shared evenly, the mean of the time taken over the time
+// alone is at most 1 / (1 - load) = 1.82, whatever the work's distribution (M/G/1-PS; more cores are better).
+// The aims of these sites allow at least 2 times the time alone plus the class's own aim, 4 to 6 times it at
+// the mean work: 5 times in all. By Markov's inequality at most 1.82 / 5 = 0.36 of a class can take longer.
+constexpr double kInTimeLeast = 0.6;
+// Where all is calm there is nothing to hold back for: what the module gives up against a forwarder that
+// learns nothing is at most chance, one request in ten of the smallest classes (some 70 requests).
+constexpr double kBelowReferenceMost = 0.1;
+
+std::vector<SiteShape> Shapes() {
+  static const std::vector<SiteShape> shapes = DrawPairwise(kSeed);
+  return shapes;
+}
+
+class CalmDay : public testing::TestWithParam<std::size_t> {};
+
+void CheckFloor(const DayResult& day, const std::string& site) {
+  for (std::size_t i = 0; i < day.classes.size(); ++i) {
+    EXPECT_GT(day.classes[i].taken, 0) << "class " << i << "\n" << site;
+    EXPECT_GE(day.classes[i].InTime(), kInTimeLeast) << "class " << i << "\n"
+                                                     << day.Describe() << "\n"
+                                                     << site;
+  }
+}
+
+void CheckAgainst(const DayResult& reference, const DayResult& day, const std::string& site) {
+  for (std::size_t i = 0; i < day.classes.size(); ++i)
+    EXPECT_GE(day.classes[i].InTime(), reference.classes[i].InTime() - kBelowReferenceMost)
+        << "class " << i << "\nreference: " << reference.Describe() << "\n"
+        << day.Describe() << "\n"
+        << site;
+}
+
+void CheckRules(const DayResult& day, const std::string& site) {
+  std::string first;
+  for (const std::string& breach : day.breaches) first += breach + "\n";
+  EXPECT_EQ(day.breach_count, 0) << first << day.Describe() << "\n" << site;
+}
+
+DayResult Play(std::size_t number, const DeciderFactory& decider) {
+  const std::uint64_t seed = kSeed + number;
+  return PlayDay(BuildSite(Shapes().at(number), kCalmLoad, seed), kDay, seed, decider);
+}
+
+TEST_P(CalmDay, ServesEveryClassAndKeepsTheRules) {
+  const std::string site = Shapes().at(GetParam()).Describe();
+  const DayResult reference = Play(GetParam(), MakeLeastLoadedForwarder);
+  CheckFloor(reference, site);  // else the site is not calm, and the floor asks too much
+  const DayResult day = Play(GetParam(), MakeGateway);
+  CheckFloor(day, site);
+  CheckAgainst(reference, day, site);
+  CheckRules(day, site);
+}
+
+INSTANTIATE_TEST_SUITE_P(Shapes, CalmDay, testing::Range(std::size_t{0}, Shapes().size()));
+
+TEST(SiteShapes, HoldEveryPairOfValues) {
+  std::set<std::tuple<std::size_t, std::size_t, std::size_t, std::size_t>> seen;
+  for (const SiteShape& shape : Shapes())
+    for (std::size_t a = 0; a < kDimensions; ++a)
+      for (std::size_t b = a + 1; b < kDimensions; ++b)
+        seen.insert({a, b, shape.at(static_cast<Dimension>(a)), shape.at(static_cast<Dimension>(b))});
+  std::size_t pairs = 0;
+  for (std::size_t a = 0; a < kDimensions; ++a)
+    for (std::size_t b = a + 1; b < kDimensions; ++b)
+      pairs += Info(static_cast<Dimension>(a)).values.size() * Info(static_cast<Dimension>(b)).values.size();
+  EXPECT_EQ(seen.size(), pairs);
+}
+
+TEST(SiteShapes, TheSameSeedGivesTheSameDay) {
+  const Site site = BuildSite(Shapes().front(), kCalmLoad, kSeed);
+  const Nanos length = kDay / 8;
+  EXPECT_EQ(PlayDay(site, length, kSeed, MakeGateway).Describe(),
+            PlayDay(site, length, kSeed, MakeGateway).Describe());
+}
+
+}  // namespace
+}  // namespace lemoncroft::standin
