Set a drawn site's rate by its busiest engine, as the floor's theory has it

Cause: a site whose lightest class is bound to the smaller kind had 0.7 of that kind's cores busy where unbound classes are spread by cores, while the floor was derived for 0.45.

--- a/src/standin/site_shapes.cpp
+++ b/src/standin/site_shapes.cpp
@@ -1,7 +1,6 @@
 #include "standin/site_shapes.h"
 
 #include <algorithm>
-#include <numeric>
 #include <random>
 #include <set>
 #include <stdexcept>
@@ -271,17 +270,23 @@
   }
 }
 
-void SetRate(Site& site, double load) {
-  double mean = 0;
-  for (const ClassTraffic& t : site.traffic) mean += t.share * t.work;
-  std::vector<EngineId> all(site.engines.size());
-  std::iota(all.begin(), all.end(), 1);
-  double cores = Cores(site, all);  // as if all work could go anywhere
+// Work that one request a second brings to each core of an engine, where every class is spread over the
+// engines that may take it by their cores.
+double WorkPerCore(const Site& site, EngineId engine) {
+  double sum = 0;
   for (std::size_t i = 0; i < site.traffic.size(); ++i) {
-    const double part = site.traffic[i].share * site.traffic[i].work / mean;
-    cores = std::min(cores, Cores(site, site.may_take[i]) / part);
+    const std::vector<EngineId>& allowed = site.may_take[i];
+    if (std::find(allowed.begin(), allowed.end(), engine) == allowed.end()) continue;
+    sum += site.traffic[i].share * site.traffic[i].work / Cores(site, allowed);
   }
-  site.rate = load * cores / mean;
+  return sum;
+}
+
+// `load` is that of the busiest engine.
+void SetRate(Site& site, double load) {
+  double most = 0;
+  for (const EngineEntry& e : site.engines) most = std::max(most, WorkPerCore(site, e.engine));
+  site.rate = load / most;
   for (std::size_t i = 0; i < site.traffic.size(); ++i) {
     const ClassSettings& c = site.settings.classes[i];
     if (!c.in_order) continue;
--- a/src/standin/site_shapes.h
+++ b/src/standin/site_shapes.h
@@ -98,7 +98,8 @@
   std::optional<std::size_t> restarted;  // the engine that drains and comes back cold during the day
 };
 
-// `load`: of the cores of the engines, and of those that a bound class may use.
+// `load`: of the cores of the busiest engine, where each class is spread over the engines that its placement
+// allows in proportion to their cores.
 Site BuildSite(const SiteShape& shape, double load, std::uint64_t seed);
 
 }  // namespace lemoncroft::standin
