--- a/src/standin/site_shapes.cpp
+++ b/src/standin/site_shapes.cpp
@@ -178,6 +178,7 @@
   s.tick = 5 * kMs;
   s.classes = Classes(shape);
   s.report_fields = Fields(shape);
+  s.reports_in_answers = !s.report_fields.empty() && !shape.Is(Dimension::kReports, "in probes only");
   s.over_share_worth = 0.2;
   s.drain_grace = 250 * kMs;
   s.cold_from = 0.33;
