Split readers and loads of a table group over four engines at least

With two or three engines a side has one, which leaves no choice. Ruled out: health and cold budgets (neither engine was out). Change: kSplitLeast, four engines.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -86,11 +86,12 @@
 constexpr int kKills = 2;               // cancels of one request: then it is held to be heavy itself
 constexpr double kSameAgain = 0.4;      // a second projection above this share of the first: heavy itself
 // Choice of engine.
-constexpr double kWarmGain = 0.5;  // of a query's work saved by a warm group (assumed)
-constexpr std::size_t kHomes = 2;  // engines that keep a table group warm for all gateways
-constexpr double kOverdue = 2;     // times its expected time: an attempt hints at a sick engine
-constexpr double kNearPart = 0.8;  // of a cold engine's budget, to those whose subsets hold it
-constexpr double kLoadSide = 0.5;  // share of engines that take a table group's loads, not its readers
+constexpr double kWarmGain = 0.5;       // of a query's work saved by a warm group (assumed)
+constexpr std::size_t kHomes = 2;       // engines that keep a table group warm for all gateways
+constexpr double kOverdue = 2;          // times its expected time: an attempt hints at a sick engine
+constexpr double kNearPart = 0.8;       // of a cold engine's budget, to those whose subsets hold it
+constexpr double kLoadSide = 0.5;       // share of engines that take a table group's loads, not its readers
+constexpr std::size_t kSplitLeast = 4;  // engines to split: two a side, since one leaves no choice
 // Held queries.
 constexpr int kTries = 4;                  // held queries of a group tried in one decision
 constexpr double kLateLeast = 0.15;        // late worth below this share isn't waited for
@@ -673,7 +674,7 @@
         rankings_.Rank(engines_, subset::Mix(q.in.tables), [&](const Engine& e) { return Allowed(q, e); });
     const bool load = Class(q).holds_tables;
     const std::size_t readers = ranked - static_cast<std::size_t>(kLoadSide * ranked);
-    if (ranked >= 2 && (load ? loads_block_ : Class(q).blocked_by_loads))
+    if (ranked >= kSplitLeast && (load ? loads_block_ : Class(q).blocked_by_loads))
       std::erase_if(able, [&](const Engine* e) { return load == (e->rank < readers); });
     // Loads of one group stand still behind each other: each gateway begins with engines that are its alone.
     const auto others = [this](const Engine* e) { return (e->rank + set_.self) % set_.gateways != 0; };
