Bound what engines take by the memory and load that they report, and renew a pace by trials

Four gateways read the same report of an idle engine and each sent until the next: '[16 cores o0 r27 x0.81]' beside reports of 1 s ago; engines swung between idle and 50 queries. 2. Queries have no estimate of memory there, so MemoryRoom let all in. Engines let them in too and stood nearly still: memory granted 3.0, disks busy 0.04, answers after 8 to 12 s. 3. Answers so late put look-ups' pace past their aim, and GiveUpAt turned all of them away from then on, one stuck attempt each, beside idle engines: 1,100 refused of 1,640 in 21 s, 'exp 2.83' unchanged for seconds.

--- a/src/estimates/class_estimates.cpp
+++ b/src/estimates/class_estimates.cpp
@@ -10,6 +10,7 @@
 // Weights of the newest sample in a mean.
 constexpr double kSlow = 0.03;         // class means: outlast bursts
 constexpr double kRecent = 0.05;       // the pace: some twenty answers
+constexpr double kTrial = 0.4;         // the pace, of the few that go while it rules the class out
 constexpr double kOutlier = 3;         // times the mean: a sample counts as no more
 constexpr double kBestCreep = 1.001;   // a sample: forgets a best that no longer exists
 constexpr double kMemoryMargin = 1.5;  // mean errors over the mean: a spill costs more than slack
@@ -31,6 +32,11 @@
   return recent_ * (tells_cost ? work : work / std::max(1e-6, mean_work_));
 }
 
+double ClassEstimates::BestTime(double work) const {
+  if (answers_ == 0) return work;
+  return best_ * (told_ ? work : work / std::max(1e-6, mean_work_));
+}
+
 double ClassEstimates::MemoryMb(double estimate_mb) const {
   return estimate_mb * std::exp(memory_mean_ + kMemoryMargin * memory_deviation_);
 }
@@ -42,10 +48,10 @@
     told_ = true;
     if (answer.estimated_work > 0) LearnWork(answer.estimated_work, answer.told_work);
     Blend(mean_work_, answer.told_work, std::max(kSlow, 1.0 / (answers_ + 2)));
-    return LearnPace(answer.time / std::max(answer.told_work, 1e-3));
+    return LearnPace(answer.time / std::max(answer.told_work, 1e-3), answer.trial);
   }
   // Set against what the estimate made expect, times scatter less: what is left tells of the pace.
-  const double ratio = LearnPace(answer.time / Relative(answer.estimated_work));
+  const double ratio = LearnPace(answer.time / Relative(answer.estimated_work), answer.trial);
   mean_work_ = best_;
   LearnTime(answer.estimated_work, std::max(answer.time, 1e-4));
   return ratio;
@@ -82,11 +88,12 @@
   covariance_ = std::clamp(covariance_, 0.2 * estimate_variance_, estimate_variance_);
 }
 
-double ClassEstimates::LearnPace(double sample) {
+double ClassEstimates::LearnPace(double sample, bool trial) {
   if (answers_ == 0) recent_ = told_ ? sample : mean_work_;
   // A hung one tells nothing of the pace; a mean of few is no best.
   ++answers_;
-  Blend(recent_, std::min(sample, kOutlier * recent_), std::max(kRecent, 1.0 / (answers_ + 2)));
+  const double weight = trial ? kTrial : std::max(kRecent, 1.0 / (answers_ + 2));
+  Blend(recent_, std::min(sample, kOutlier * recent_), weight);
   best_ = known() ? std::min(best_ * kBestCreep, recent_) : recent_;
   return sample / std::max(best_, 1e-6);
 }
--- a/src/estimates/class_estimates.h
+++ b/src/estimates/class_estimates.h
@@ -18,6 +18,7 @@
   double time = 0;            // thread seconds from the attempt's start to the answer
   double estimated_memory_mb = 0;
   double told_memory_mb = 0;
+  bool trial = false;  // of a query that went to renew a pace that few answers renew
 };
 
 class ClassEstimates {
@@ -35,6 +36,8 @@
   double Work(double estimate) const;
   // Thread seconds until the answer to a query of `work`, at the fleet's present pace.
   double Time(double work, bool tells_cost) const;
+  // The same at the best pace seen.
+  double BestTime(double work) const;
   // Memory that a query will hardly exceed.
   double MemoryMb(double estimate_mb) const;
 
@@ -52,7 +55,7 @@
   void LearnWork(double estimate, double told);
   void LearnTime(double estimate, double time);
   void LearnRegression(double log_estimate, double log_work, double weight);
-  double LearnPace(double sample);
+  double LearnPace(double sample, bool trial);
   void LearnMemory(double estimate_mb, double told_mb);
 
   // Regression of the log of the true work on that of its estimate: means, variance, covariance. Where costs
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -51,9 +51,11 @@
 constexpr double kPressureLatency = 2.5;  // times the best latency: well past noise, before thrash is deep
 constexpr double kCrowded = 1.5;          // threads a core past which an engine takes no first heavy query
 constexpr double kMemoryFill = 0.85;      // of an engine's memory that heavy queries may take
+constexpr double kOwnGrant = 1.5;         // times the usual need: what an engine grants without an estimate
 constexpr double kLight = 0.25;           // of the heaviest class's mean work: counted apart
 constexpr std::size_t kProbed = 2;        // engines to choose from that a heavy query waits to know
 constexpr Nanos kProbeBeat = 250 * kMs;   // one probe for each, with heavy queries held: more would herd
+constexpr Nanos kProbeWait = 100 * kMs;   // for the result of one, before it is done without
 constexpr Nanos kSilentBeat = 20 * kProbeBeat;  // likewise, of engines that have told nothing so far
 // Learning: weight of the newest sample in a mean.
 constexpr double kFast = 0.1;   // an engine's latency: some ten answers
@@ -94,6 +96,7 @@
 constexpr std::size_t kSplitLeast = 4;  // engines to split: two a side, since one leaves no choice
 // Held queries.
 constexpr int kTries = 4;                  // held queries of a group tried in one decision
+constexpr int kTrials = 4;                 // in the time of a class's aim, at the most
 constexpr double kLateLeast = 0.15;        // late worth below this share isn't waited for
 constexpr Nanos kBeat = 20 * kMs;          // clock of the checks
 constexpr Nanos kAnswerMargin = 40 * kMs;  // before a try's deadline: two beats
@@ -151,6 +154,7 @@
   double work = 0;  // expected, thread seconds
   double worth = 1;
   bool late = false;
+  bool trial = false;  // goes though the class's present pace rules its aim out
   Where where = Where::kHeld;
   Nanos due = 0;  // next check
   int sent = 0;
@@ -216,6 +220,7 @@
     TakeSiblings();
     promise_ = reports::Promise::Of(set_);
     tenants_.resize(set_.tenants.size());
+    tried_at_.resize(std::max(tried_at_.size(), set_.classes.size()));
     loads_block_ = false;
     const std::vector<ClassEstimates> before = std::exchange(estimates_, {});
     for (std::size_t i = 0; i < set_.classes.size(); ++i) {
@@ -348,7 +353,7 @@
   void Hold(Query& q) {
     q.where = Where::kHeld;
     held_[{-WorthNow(q), q.in.klass}].emplace(q.work, q.in.id);
-    Schedule(q, GiveUpAt(q));
+    Schedule(q, std::min(GiveUpAt(q), q.sent > 0 ? RepeatUntil(q) : kNoLimit));
   }
 
   void Unhold(Query& q) {
@@ -360,7 +365,7 @@
 
   // The last moment to start a query and still meet its aim, or its deadline once it is late.
   Nanos GiveUpAt(const Query& q) const {
-    const Nanos run = ToNanos(ExpectedSeconds(q));
+    const Nanos run = ToNanos(q.trial ? Estimates(q).BestTime(q.work) / q.threads : ExpectedSeconds(q));
     if (!q.late) return std::min(q.aim_at, q.deadline - kAnswerMargin) - run;
     return q.deadline - kAnswerMargin - run;
   }
@@ -389,12 +394,21 @@
     aim_missed_ = true;
     const bool waits = !q.late && Class(q).late_worth >= kLateLeast;
     if (q.where == Where::kHeld) Unhold(q);
-    q.late = true;
-    if (!waits || GiveUpAt(q) <= now_) return Answer(q);
+    if (now_ >= RepeatUntil(q)) return Answer(q);  // no further attempt may leave: nothing to wait for
+    q.trial = !q.late && TrialDue(q);
+    q.late = !q.trial;
+    if ((!waits && !q.trial) || GiveUpAt(q) <= now_) return Answer(q);
     if (q.where == Where::kHeld) return Hold(q);
     Schedule(q, GiveUpAt(q));
   }
 
+  // A pace that nothing renews may be long past: as with a circuit breaker that is half open, one goes then.
+  bool TrialDue(const Query& q) {
+    if (q.trial || now_ - tried_at_[q.in.klass] < Class(q).aim / kTrials) return false;
+    tried_at_[q.in.klass] = now_;
+    return true;
+  }
+
   // ---- Order per key ----
 
   // A class that has come to keep an order binds its open requests too: what comes next waits for them.
@@ -487,7 +501,8 @@
       int left = kTries;
       for (auto it = group.begin(); it != group.end() && left > 0; ++it) {
         Query& q = queries_.at(it->second);
-        Engine* e = MaySendAgain(q) ? Choose(q) : nullptr;
+        if (!MaySendAgain(q)) continue;  // what waits for the budget holds up no first attempt
+        Engine* e = Choose(q);
         left -= e == nullptr;
         if (e == nullptr) continue;
         Dispatch(q, *e);
@@ -573,16 +588,21 @@
     return e.latency > kPressureLatency || Level(e) + q.threads > kSeedFactor * e.cores;
   }
 
-  // Heavy queries leave some memory to the light ones, which would else stand in line behind them or spill.
+  // Heavy queries leave memory to the light ones, which would else stand in line behind them or spill.
   bool MemoryRoom(const Engine& e, const Query& q) {
-    const double others = e.load.Fresh(now_) ? e.load.others() * mean_memory_ : 0;
-    if (e.runs.empty() && others == 0) return true;
+    const auto granted = e.load.MemoryGranted(static_cast<double>(e.runs.size()), sharers_);
+    const double most = kOwnGrant * (Light(q) ? 1 : kMemoryFill);
+    if (granted && q.in.est_memory_mb <= 0 && *granted > most) return false;
+    const double others = e.load.Fresh(now_) ? Others(e) * mean_memory_ : 0;
+    if (Light(q) || (e.runs.empty() && others == 0)) return true;
     return e.memory <= 0 || e.granted + others + Need(q) <= kMemoryFill * e.memory;
   }
 
+  double Others(const Engine& e) const { return e.load.Others(static_cast<double>(e.runs.size()), sharers_); }
+
   // Threads at an engine, those of other gateways' queries as reported counted like our own mean query's.
   double Level(const Engine& e) const {
-    return e.threads[0] + e.threads[1] + (e.load.Fresh(now_) ? e.load.others() * mean_threads_ : 0);
+    return e.threads[0] + e.threads[1] + (e.load.Fresh(now_) ? Others(e) * mean_threads_ : 0);
   }
 
   // How much slower the engine answers than the fleet: so that a slow engine's bound doesn't stay high.
@@ -595,7 +615,7 @@
     if (!Allowed(q, e) || LoadsGroup(q, e) || !ColdRoom(e, q)) return false;
     if (e.errors >= kErrorEject && e.backoff > kBackoff && !e.runs.empty()) return false;  // on probation
     if (!GoesFirst(q) && !MayAfford(q, e)) return false;
-    if (!Light(q) && !MemoryRoom(e, q)) return false;
+    if (!MemoryRoom(e, q)) return false;
     if (!Pressed(e, q)) return true;
     // Running none of ours: free to go, but for a heavy query where others, as reported, have filled it.
     if (e.runs.empty()) return Light(q) || Level(e) + q.threads <= kCrowded * e.cores;
@@ -642,15 +662,23 @@
   }
 
   // Heavy queries go where a fresh report tells of the load; engines are probed where answers bring too few.
-  // One that doesn't report, though the settings promise it, is taken as it is, and asked now and then.
+  // One that doesn't report, though the settings promise it, is taken as it is, and asked now and then. None
+  // waits for the turn of the next probe: one engine a beat is too little where many heavy queries come.
   bool Inform(std::vector<Engine*>& able) {
     if (!set_.may_probe || !promise_.promised()) return true;
+    const std::vector<Engine*> all = able;
     std::vector<Engine*> unknown, silent;
     for (Engine* e : able)
       if (!e->load.Fresh(now_)) (e->load.Silent() ? silent : unknown).push_back(e);
     std::erase_if(able, [&](const Engine* e) { return !e->load.Fresh(now_) && !e->load.Silent(); });
     if (able.size() < kProbed && !unknown.empty()) Ask(unknown, probe_at_, kProbeBeat);
     if (!silent.empty() && !promise_.in_answers) Ask(silent, silent_at_, kSilentBeat);
+    const auto longer = [](const auto& group) { return group.second.size() > kTries; };
+    const bool asked = now_ < probe_at_ - kProbeBeat + kProbeWait;
+    const bool many = std::any_of(held_.begin(), held_.end(), longer);
+    const bool spared = credit_ > 0 || fleet_latency_ < kFleetPressed;  // as where no reports are promised
+    const bool never = !silent.empty() && !reported_;  // else the first found silent would get all
+    if ((able.empty() && !asked && many && spared) || never) able = all;
     return !able.empty();
   }
 
@@ -697,7 +725,7 @@
       running += r.work * std::max(0.3, 1 - progress);
       overdue += progress > kOverdue;
     }
-    running += (e.load.Fresh(now_) ? e.load.others() : others_mean_) * mean_run_;
+    running += (e.load.Fresh(now_) ? Others(e) : others_mean_) * mean_run_;
     const bool warm = e.warm.Holds(q.in.tables) || (e.rank < kHomes && !Class(q).holds_tables);
     double own = q.work / q.threads * (warm ? 1 - kWarmGain : 1);
     // Overdue attempts tell of a sick engine before its answers do; one that hangs some answers others fast.
@@ -716,6 +744,7 @@
     if (q.sent > 0 && set_.attempt_budget) retries_.Retried(now_);
     ++q.sent;
     q.out = true;
+    tried_at_[q.in.klass] = now_;
     q.cancelled = false;
     q.engine = e.entry.engine;
     q.sent_at = now_;
@@ -854,7 +883,7 @@
 
   void TakeReport(Engine& e, const LoadReport& load, bool due) {
     if (e.load.Take(promise_, load, static_cast<double>(e.runs.size()), now_))
-      Blend(others_mean_, e.load.others(), kFast);
+      Blend(others_mean_, e.load.others(), kFast), reported_ = true;
     else if (due)
       e.load.Missed();
   }
@@ -867,7 +896,8 @@
                                                        .told_work = told,
                                                        .time = Seconds(end.waited) * q.threads,
                                                        .estimated_memory_mb = q.in.est_memory_mb,
-                                                       .told_memory_mb = end.memory_mb});
+                                                       .told_memory_mb = end.memory_mb,
+                                                       .trial = q.trial});
     Blend(e.latency, std::min(ratio, 20.0), std::max(kFast, 1.0 / (++e.samples + 3)));
     Blend(fleet_latency_, std::min(ratio, 20.0), kFast);
     e.period.work += told > 0 ? told : q.work;
@@ -990,6 +1020,7 @@
   std::priority_queue<Check, std::vector<Check>, std::greater<>> checks_;
   std::vector<ClassEstimates> estimates_;
   std::vector<limits::TokenBucket> tenants_;
+  std::vector<Nanos> tried_at_;  // when an attempt of the class last left
   limits::RetryBudget retries_;
   double fleet_latency_ = 1, fleet_hung_ = 0, others_mean_ = 0, mean_run_ = 0.1, mean_threads_ = 1,
          mean_memory_ = 0;
@@ -997,10 +1028,10 @@
   double demand_ = 0, credit_ = 0, part_ = 0, near_ = 1,
          heaviest_ = 0;       // near_: share of the engines in the subset
   double heavy_earning_ = 0;  // worth of a thread second in the best of the classes that aren't light
-  bool earning_ = false;
-  int beside_ = 1;                    // parts that the budgets of this gateway are divided by
-  std::optional<Siblings> siblings_;  // none: what the settings tell
-  int sharers_ = 1;                   // gateways that have one engine in their subsets, at the most
+  bool earning_ = false, reported_ = false;  // an engine has told its load at least once
+  int beside_ = 1;                           // parts that the budgets of this gateway are divided by
+  std::optional<Siblings> siblings_;         // none: what the settings tell
+  int sharers_ = 1;                          // gateways that have one engine in their subsets, at the most
   reports::Promise promise_;
   Nanos probe_at_ = -kSecond, silent_at_ = -kSecond, flags_at_ = 0, wake_at_ = -1,
         born_ = -1;  // born_: the first step
--- a/src/reports/reported_load.h
+++ b/src/reports/reported_load.h
@@ -6,6 +6,7 @@
 #ifndef LEMONCROFT_REPORTS_REPORTED_LOAD_H_
 #define LEMONCROFT_REPORTS_REPORTED_LOAD_H_
 
+#include <algorithm>
 #include <cstddef>
 #include <optional>
 
@@ -16,6 +17,7 @@
 // Which reports the settings promise, as far as the module can use them.
 struct Promise {
   std::optional<std::size_t> inflight;  // its position in a report; none: reports tell nothing of use
+  std::optional<std::size_t> memory;    // likewise of the share of memory granted
   bool in_answers = false;              // else in the results of probes alone
 
   static Promise Of(const Settings& settings);
@@ -36,13 +38,22 @@
   bool Silent() const { return missed_ >= kMissedMost; }
   // Queries that other gateways run there, by the last report.
   double others() const { return others_; }
+  // The same now, when this gateway has `own` there: the others have read the same report, and each is taken
+  // to have sent as much since.
+  double Others(double own, double gateways) const {
+    return std::max(0.0, others_ + (own - own_) * (gateways - 1));
+  }
+  // The share of the engine's memory that is granted, with `own` queries of this gateway there now in the
+  // place of those at the last report. Nothing where reports don't tell it.
+  std::optional<double> MemoryGranted(double own, double gateways) const;
 
  private:
   static constexpr Nanos kFreshFor = 1'000'000'000;  // a load older than this has changed
   static constexpr int kMissedMost = 3;              // in a row: one or two may be lost with their answers
 
   Nanos at_ = -1;
-  double others_ = 0;
+  double others_ = 0, own_ = 0;
+  std::optional<double> memory_;
   int missed_ = 0;
 };
 
--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -836,6 +836,87 @@
   EXPECT_EQ(host.engine_of[1], idle.engine);
 }
 
+Probed Report(EngineId engine, float inflight, float memory) {
+  Probed probed;
+  probed.engine = engine;
+  probed.load.count = 2;
+  probed.load.values = {inflight, memory};
+  return probed;
+}
+
+Settings WithReports() {
+  Settings s = SomeSettings();
+  s.gateways = 4;
+  s.report_fields = {ReportField::kInflight, ReportField::kX0};
+  s.may_probe = true;
+  return s;
+}
+
+// Kigali, big-2 of the simulator: four gateways read of an idle engine in the same report and sent it 27, 26,
+// 21 and 20 queries before the next one.
+TEST(Reports, OtherGatewaysAreTakenToSendAsMuchSinceAReport) {
+  Settings s = WithReports();
+  Host host(s);
+  host.List({Ready(1)});
+  host.Step({Report(1, 0, 0)});
+  std::vector<Event> requests;
+  for (RequestId id = 1; id <= 20; ++id) requests.push_back(Ask(id));
+  host.Step(requests);
+  EXPECT_GE(host.sends.size(), 3u);
+  EXPECT_LE(host.sends.size(), 4u) << "four gateways share 12 threads: one and a half a core";
+}
+
+// The same day: engines let queries in beyond their memory, and all that ran there stood nearly still (memory
+// granted 3.0, disks busy 0.04).
+TEST(Reports, AnEngineWhoseMemoryIsGrantedTakesNoMore) {
+  Settings s = WithReports();
+  s.memory_short = MemoryShort::kSwap;
+  Host host(s);
+  host.List({Ready(1)});
+  Request request = Ask(1);
+  host.Step({Report(1, 2, 1.6f), request});
+  EXPECT_EQ(host.Attempts(1), 0);
+  host.RunUntil(host.now + 200 * kMs);
+  EXPECT_EQ(host.Attempts(1), 0);
+  host.Step({Report(1, 2, 0.5f)});
+  EXPECT_EQ(host.Attempts(1), 1);
+}
+
+// The same day: once a class's answers had been slower than its aim, all of it was turned away at once,
+// nothing was sent whose answer would have told otherwise, and 1,100 requests were refused beside idle
+// engines.
+TEST(Reports, AClassThatItsPaceRulesOutSendsATrialNowAndThen) {
+  Settings s = SomeSettings();
+  s.classes[0].late_worth = 0;
+  Host host(s);
+  host.List({Ready(1), Ready(2)});
+  RequestId id = 0;
+  for (int i = 0; i < 80; ++i) {
+    host.Step({Ask(++id, 0, 4 * kSecond)});
+    if (host.Attempts(id) > 0) host.End(id, Outcome::kOk, i < 40 ? 50 * kMs : 20 * kSecond);
+  }
+  host.RunUntil(host.now + kSecond);
+  std::vector<Event> many;
+  for (int i = 0; i < 20; ++i) many.push_back(Ask(++id, 0, 4 * kSecond));
+  const std::size_t before = host.sends.size();
+  host.Step(many);
+  ASSERT_EQ(host.sends.size(), before + 1) << "one tries, nineteen are turned away";
+  host.End(host.sends.back().id, Outcome::kOk, 50 * kMs);
+  const auto served = [&] {  // of a second's twenty requests, at engines that are fast again
+    int count = 0;
+    for (int i = 0; i < 20; ++i) {
+      host.Step({Ask(++id, 0, 4 * kSecond)});
+      host.RunUntil(host.now + 50 * kMs);
+      if (host.Attempts(id) == 0) continue;
+      host.End(id, Outcome::kOk, 50 * kMs);
+      ++count;
+    }
+    return count;
+  };
+  for (int i = 0; i < 3; ++i) served();
+  EXPECT_EQ(served(), 20) << "trials have shown the pace";
+}
+
 // Found on a bench day: a cold engine that was left alone for 13 s had credit saved up at every gateway and
 // was rushed. All gateways together send no more than its budget in any window, and still send something.
 TEST(Rule4, AllGatewaysTogetherKeepAColdEnginesBudget) {
