Grant memory as roughly as work is estimated where neither is told

Change: while no memory has been told, the slope and the error learnt for work are taken for memory: its estimate is drawn to the class's mean, and the margin of 1.5 mean errors is that of the work. No estimate still means no grant.

--- a/src/estimates/class_estimates.cpp
+++ b/src/estimates/class_estimates.cpp
@@ -38,7 +38,11 @@
 }
 
 double ClassEstimates::MemoryMb(double estimate_mb) const {
-  return estimate_mb * std::exp(memory_mean_ + kMemoryMargin * memory_deviation_);
+  if (estimate_mb <= 0) return 0;
+  if (told_ || memories_told_ > 0 || answers_ == 0)
+    return estimate_mb * std::exp(memory_mean_ + kMemoryMargin * memory_deviation_);
+  const double off = std::log(estimate_mb) - memory_estimate_mean_;
+  return std::exp(memory_estimate_mean_ + Slope() * off + kMemoryMargin * deviation_);
 }
 
 double ClassEstimates::Learn(const Answer& answer) {
@@ -54,6 +58,10 @@
   const double ratio = LearnPace(answer.time / Relative(answer.estimated_work), answer.trial);
   mean_work_ = best_;
   LearnTime(answer.estimated_work, std::max(answer.time, 1e-4));
+  if (answer.estimated_memory_mb > 0) {
+    const double log_memory = std::log(answer.estimated_memory_mb);
+    Blend(memory_estimate_mean_, log_memory, std::max(kSlow, 1.0 / ++memories_estimated_));
+  }
   return ratio;
 }
 
--- a/src/estimates/class_estimates.h
+++ b/src/estimates/class_estimates.h
@@ -38,7 +38,7 @@
   double Time(double work, bool tells_cost) const;
   // The same at the best pace seen.
   double BestTime(double work) const;
-  // Memory that a query will hardly exceed.
+  // Memory that a query will hardly exceed; 0 with no estimate.
   double MemoryMb(double estimate_mb) const;
 
   // Takes an answer in. Returns how much slower it was than the class's best mean: 1 = as fast.
@@ -70,6 +70,10 @@
   double best_ = 0;    // the least recent mean seen
   double memory_mean_ = 0, memory_deviation_ = 0.2;  // of the log of memory needed over its estimate
   int memories_told_ = 0;
+  // Where costs aren't told, the memory needed isn't either: its estimates are taken to be as rough as those
+  // of work. Mean of their log.
+  double memory_estimate_mean_ = 0;
+  int memories_estimated_ = 0;
   int answers_ = 0;
 };
 
--- a/tests/class_estimates_test.cpp
+++ b/tests/class_estimates_test.cpp
@@ -46,6 +46,20 @@
   EXPECT_LT(estimates.deviation(), 0.5);
 }
 
+// Boxoffice: a grant of a third more than a raw estimate was too little for many, and they spilled.
+TEST(ClassEstimates, MemoryThatIsNeverToldIsExpectedAsRoughlyAsWorkIsEstimated) {
+  ClassEstimates estimates(1, false);
+  for (int i = 0; i < 350; ++i) {
+    const double scatter = std::exp(i % 2 == 0 ? 1 : -1);  // says nothing of the time
+    estimates.Learn({.estimated_work = 0.2 * scatter,
+                     .time = 0.2 * std::exp(i % 4 < 2 ? 0.6 : -0.6),
+                     .estimated_memory_mb = 200 * scatter});
+  }
+  EXPECT_GT(estimates.MemoryMb(200 / 2.7), 300) << "drawn to the mean of 200, and a margin of its scatter";
+  EXPECT_LT(estimates.MemoryMb(200 * 2.7), 800);
+  EXPECT_EQ(estimates.MemoryMb(0), 0) << "no estimate: the engine's own choice";
+}
+
 TEST(ClassEstimates, WithNoEstimatesTheSpreadOfTimesIsTheDeviation) {
   ClassEstimates estimates(1, false);
   for (int i = 0; i < 200; ++i) estimates.Learn({.time = 0.1 * std::exp(i % 2 == 0 ? 1.2 : -1.2)});
