--- a/src/settings/check.cpp
+++ b/src/settings/check.cpp
@@ -1,6 +1,7 @@
 #include "settings/check.h"
 
 #include <algorithm>
+#include <initializer_list>
 #include <set>
 #include <string_view>
 #include <utility>
@@ -170,6 +171,13 @@
     if (names.size() > kNamesMost) Add(Severity::kError, what + ": more than " + std::to_string(kNamesMost));
   }
 
+  void Word(Severity severity, const std::string& key, const std::string& where,
+            std::initializer_list<std::string_view> words, const std::string& taken) {
+    const std::string word = in_.Text(key);
+    if (word.empty() || std::find(words.begin(), words.end(), word) != words.end()) return;
+    Add(severity, where + ": '" + word + "' is unknown, and taken as " + taken);
+  }
+
   void Class(std::size_t i) {
     const ClassSettings& c = site_.module.classes[i];
     const std::string key = "requestClasses." + std::to_string(i) + ".";
@@ -179,6 +187,8 @@
     if (!(c.worth >= 0 && c.worth <= kFigureMost)) OutOfRange(where + "credit");
     if (!(c.late_worth >= 0 && c.late_worth <= 1)) OutOfRange(where + "lateWorth");
     if (!(c.aim_stretch >= 0 && c.aim_stretch <= kFigureMost)) OutOfRange(where + "aimStretch");
+    Word(Severity::kError, key + "effect", where + "effect", {"pure", "token", "side_effect"}, "side_effect");
+    Word(Severity::kError, key + "group", where + "group", {"all", "zone", "cell"}, "cell");
     if (in_.Time(key + "promiseNs") == 0 && c.aim_stretch <= 0)
       Warn(where + "promiseNs: none; its deadline is taken in its place");
     if (c.aim > c.deadline) Warn(where + "promiseNs: past its deadline, where nobody waits any more");
@@ -271,6 +281,8 @@
     const Settings& s = site_.module;
     if (site_.per_class < site_.classes.size())
       Add(Severity::kError, "specifics: values of some classes are missing, and: out of range");
+    Word(Severity::kWarning, "specifics.memoryShort", "specifics.memoryShort", {"queue", "trim", "swap"},
+         "trim");
     const std::size_t kinds = in_.List("flavors").size();
     const std::vector<double> cores = in_.Numbers("specifics.cpuOfKind");
     const std::vector<double> memory = in_.Numbers("specifics.ramOfKindMb");
--- a/src/settings/settings.cpp
+++ b/src/settings/settings.cpp
@@ -118,12 +118,13 @@
   if (c.aim == 0 && c.aim_stretch <= 0) c.aim = c.deadline;  // none is told: any answer in time has its worth
   c.worth = in.Number(p + "credit", 1);
   c.late_worth = in.Number(p + "lateWorth");
+  // Of a word that is none of them the strictest is taken.
   c.effect = in.OneOf<Effect>(
       p + "effect", {{"pure", Effect::kSafe}, {"token", Effect::kKeyed}, {"side_effect", Effect::kUnsafe}},
-      Effect::kSafe);
+      Effect::kSafe, Effect::kUnsafe);
   c.group = in.OneOf<RepeatGroup>(
       p + "group", {{"all", RepeatGroup::kAll}, {"zone", RepeatGroup::kZone}, {"cell", RepeatGroup::kCell}},
-      RepeatGroup::kAll);
+      RepeatGroup::kAll, RepeatGroup::kCell);
   c.repeat_window = in.Time(p + "repeatWindowNs");
   c.in_order = in.Flag(p + "fifoByKey");
   c.streaming = in.Flag(p + "streaming");
@@ -152,7 +153,7 @@
   s.memory_short = in.OneOf<MemoryShort>(
       "specifics.memoryShort",
       {{"queue", MemoryShort::kQueue}, {"trim", MemoryShort::kTrim}, {"swap", MemoryShort::kSwap}},
-      MemoryShort::kTrim);
+      MemoryShort::kTrim, MemoryShort::kTrim);
   s.progress_every = in.Time("specifics.progressNs");
   s.tells_cost = in.Flag("specifics.saysCost");
 }
--- a/src/settings/settings.h
+++ b/src/settings/settings.h
@@ -49,13 +49,15 @@
   // Values written as a position in `names` or as one of the names.
   std::vector<std::uint16_t> Positions(const std::string& key, const std::vector<std::string>& names) const;
 
+  // One of the choices by its name; `unknown` where the value is none of these names.
   template <typename T>
-  T OneOf(const std::string& key, std::initializer_list<std::pair<const char*, T>> choices, T absent) const {
+  T OneOf(const std::string& key, std::initializer_list<std::pair<const char*, T>> choices, T absent,
+          T unknown) const {
     if (!Has(key)) return absent;
     for (const auto& [name, value] : choices) {
       if (Text(key) == name) return value;
     }
-    Unreadable(key, Text(key));
+    return unknown;
   }
 
  private:
--- a/tests/settings_test.cpp
+++ b/tests/settings_test.cpp
@@ -120,6 +120,11 @@
       {"/requestClasses/1/staysIn", {7}, kWarning, load + "staysIn: the settings list no zone '7'"},
       {"/requestClasses/1/staysIn", json::array(), kWarning,
        load + "staysIn: an empty list binds it to nothing"},
+      {"/requestClasses/0/effect", "soft", kError,
+       lookup + "effect: 'soft' is unknown, and taken as side_effect"},
+      {"/requestClasses/0/group", "town", kError, lookup + "group: 'town' is unknown, and taken as cell"},
+      {"/specifics/memoryShort", "spill", kWarning,
+       "specifics.memoryShort: 'spill' is unknown, and taken as trim"},
       {"/tenants/0/quotaPerS", -1, kError, "tenants 'acme' quotaPerS: out of range"},
       {"/overShareWorth", 2, kWarning, "overShareWorth: not between 0 and 1"},
       {"/limits/maxAttempts", 0, kError, "limits.maxAttempts: out of range"},
@@ -233,6 +238,12 @@
   EXPECT_THROW(cli::CheckShape(Read(mixed), some), cli::ConfigError);
 }
 
+// A word that a later version brings must not keep a proxy from starting, nor loosen a rule.
+TEST(Settings, AnUnknownWordIsTakenAsTheStrictest) {
+  EXPECT_EQ(Read(With("/requestClasses/0/effect", "soft")).site.module.classes[0].effect, Effect::kUnsafe);
+  EXPECT_EQ(Read(With("/requestClasses/0/group", "town")).site.module.classes[0].group, RepeatGroup::kCell);
+}
+
 // An aim of 0 would be missed by every request before it could be sent.
 TEST(Settings, AClassWithoutAnAimHasItsDeadline) {
   EXPECT_EQ(Read(With("/requestClasses/1/promiseNs", 0)).site.module.classes[1].aim, 20'000 * kMs);
