Send a query with more threads than any engine has cores to one that runs nothing

Cause: Takes asked Level(e) + threads <= 1.5 x cores also of an engine on which nothing runs and nobody else is reported.

--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -618,7 +618,7 @@
     if (!MemoryRoom(e, q)) return false;
     if (!Pressed(e, q)) return true;
     // Running none of ours: free to go, but for a heavy query where others, as reported, have filled it.
-    if (e.runs.empty()) return Light(q) || Level(e) + q.threads <= kCrowded * e.cores;
+    if (e.runs.empty()) return Light(q) || Level(e) <= 0 || Level(e) + q.threads <= kCrowded * e.cores;
     return e.threads[Light(q)] + q.threads / 2 <= e.bound * Speed(e);
   }
 
--- a/tests/settings_effect_test.cpp
+++ b/tests/settings_effect_test.cpp
@@ -230,6 +230,19 @@
   }
 }
 
+// Where nothing runs nothing is crowded: a class that none of the engines has the cores for was never sent.
+TEST(SettingsEffect, QueriesOfMoreThreadsThanAnyEngineHasCoresAreServed) {
+  for (const std::vector<KindSettings>& kinds :
+       {std::vector<KindSettings>{{2, 16384}}, std::vector<KindSettings>{}}) {
+    Settings settings = Usual();
+    settings.kinds = kinds;
+    settings.classes[kReport].threads = 4;
+    World world(settings);
+    for (int i = 0; i < 20; ++i) world.Take(kReport, 14 * kSecond), world.RunFor(700 * kMs);
+    EXPECT_EQ(world.served, 20u);
+  }
+}
+
 TEST(SettingsEffect, PastItsShareATenantGoesLater) {
   Settings settings = Usual();
   settings.tenants = {{1}, {1000}};
