--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -89,7 +89,7 @@
   // Refused before the module hears of it: nothing ran, and the process lives.
   const bool allowed = authority_ == nullptr || authority_->Takes(lane);
   if (closed_ || !allowed || lives_.size() >= limits_.requests || bytes_ + bytes > limits_.bytes) {
-    Finish(lane, *sink, {Verdict::kRefused, ToSpan(site_->module.max_come_back), {}});
+    Finish(lane, *sink, {Verdict::kRefused, ComeBackMost(), {}});
     return 0;
   }
   // An engine knows a query by the client's id alone: under one id two would be taken for each other there. A
