--- a/tests/shapes_test.cpp
+++ b/tests/shapes_test.cpp
@@ -13,7 +13,8 @@
 namespace lemoncroft::standin {
 namespace {
 
-constexpr std::uint64_t kSeed = 20261202;
+constexpr std::uint64_t kDraws[] = {1, 2, 3, 20261202};  // seeds; each draw holds every pair of values
+constexpr std::uint64_t kTrafficSeed = 20261202;
 constexpr Nanos kDay = 40'000'000'000;
 constexpr double kCalmLoad = 0.45;  // of the cores
 
@@ -26,9 +27,27 @@
 // learns nothing is at most chance, one request in ten of the smallest classes (some 70 requests).
 constexpr double kBelowReferenceMost = 0.1;
 
-std::vector<SiteShape> Shapes() {
-  static const std::vector<SiteShape> shapes = DrawPairwise(kSeed);
-  return shapes;
+struct DrawnSite {
+  std::uint64_t draw = 0;  // the seed of its draw
+  std::size_t number = 0;  // in it
+  SiteShape shape;
+};
+
+const std::vector<DrawnSite>& Sites() {
+  static const std::vector<DrawnSite> sites = [] {
+    std::vector<DrawnSite> all;
+    for (const std::uint64_t draw : kDraws) {
+      const std::vector<SiteShape> shapes = DrawPairwise(draw);
+      for (std::size_t i = 0; i < shapes.size(); ++i) all.push_back({draw, i, shapes[i]});
+    }
+    return all;
+  }();
+  return sites;
+}
+
+std::string NameOf(const testing::TestParamInfo<std::size_t>& info) {
+  const DrawnSite& drawn = Sites().at(info.param);
+  return "Draw" + std::to_string(drawn.draw) + "Site" + std::to_string(drawn.number);
 }
 
 class CalmDay : public testing::TestWithParam<std::size_t> {};
@@ -56,41 +75,46 @@
   EXPECT_EQ(day.breach_count, 0) << first << day.Describe() << "\n" << site;
 }
 
-DayResult Play(std::size_t number, const DeciderFactory& decider) {
-  const std::uint64_t seed = kSeed + number;
-  return PlayDay(BuildSite(Shapes().at(number), kCalmLoad, seed), kDay, seed, decider);
+DayResult Play(const DrawnSite& drawn, const DeciderFactory& decider) {
+  const std::uint64_t seed = kTrafficSeed + drawn.number;
+  return PlayDay(BuildSite(drawn.shape, kCalmLoad, seed), kDay, seed, decider);
 }
 
 TEST_P(CalmDay, ServesEveryClassAndKeepsTheRules) {
-  const std::string site = Shapes().at(GetParam()).Describe();
-  const DayResult reference = Play(GetParam(), MakeLeastLoadedForwarder);
+  const DrawnSite& drawn = Sites().at(GetParam());
+  const std::string site = drawn.shape.Describe();
+  const DayResult reference = Play(drawn, MakeLeastLoadedForwarder);
   CheckFloor(reference, site);  // else the site is not calm, and the floor asks too much
-  const DayResult day = Play(GetParam(), MakeGateway);
+  const DayResult day = Play(drawn, MakeGateway);
   CheckFloor(day, site);
   CheckAgainst(reference, day, site);
   CheckRules(day, site);
 }
 
-INSTANTIATE_TEST_SUITE_P(Shapes, CalmDay, testing::Range(std::size_t{0}, Shapes().size()));
+INSTANTIATE_TEST_SUITE_P(Shapes, CalmDay, testing::Range(std::size_t{0}, Sites().size()), NameOf);
 
-TEST(SiteShapes, HoldEveryPairOfValues) {
+std::size_t PairsIn(const std::vector<SiteShape>& shapes) {
   std::set<std::tuple<std::size_t, std::size_t, std::size_t, std::size_t>> seen;
-  for (const SiteShape& shape : Shapes())
+  for (const SiteShape& shape : shapes)
     for (std::size_t a = 0; a < kDimensions; ++a)
       for (std::size_t b = a + 1; b < kDimensions; ++b)
         seen.insert({a, b, shape.at(static_cast<Dimension>(a)), shape.at(static_cast<Dimension>(b))});
+  return seen.size();
+}
+
+TEST(SiteShapes, HoldEveryPairOfValues) {
   std::size_t pairs = 0;
   for (std::size_t a = 0; a < kDimensions; ++a)
     for (std::size_t b = a + 1; b < kDimensions; ++b)
       pairs += Info(static_cast<Dimension>(a)).values.size() * Info(static_cast<Dimension>(b)).values.size();
-  EXPECT_EQ(seen.size(), pairs);
+  for (const std::uint64_t draw : kDraws) EXPECT_EQ(PairsIn(DrawPairwise(draw)), pairs) << draw;
 }
 
 TEST(SiteShapes, TheSameSeedGivesTheSameDay) {
-  const Site site = BuildSite(Shapes().front(), kCalmLoad, kSeed);
+  const Site site = BuildSite(Sites().front().shape, kCalmLoad, kTrafficSeed);
   const Nanos length = kDay / 8;
-  EXPECT_EQ(PlayDay(site, length, kSeed, MakeGateway).Describe(),
-            PlayDay(site, length, kSeed, MakeGateway).Describe());
+  EXPECT_EQ(PlayDay(site, length, kTrafficSeed, MakeGateway).Describe(),
+            PlayDay(site, length, kTrafficSeed, MakeGateway).Describe());
 }
 
 }  // namespace
