--- a/src/standin/site_shapes.cpp
+++ b/src/standin/site_shapes.cpp
@@ -19,7 +19,7 @@
 constexpr double kMemoryBiasMost = 0.5;  // likewise
 constexpr double kQuotaMargin = 2;       // a tenant's quota over its mean rate
 constexpr double kRestartMost = 0.25;    // share of what a class may use that one engine may be to restart
-constexpr double kPlacedPerCell = 2;     // engines of a zone in one cell
+constexpr int kPlacedPerCell = 2;        // engines of a zone in one cell
 
 const std::vector<DimensionInfo>& Table() {
   static const std::vector<DimensionInfo> table = {
@@ -59,7 +59,9 @@
 struct Choice {
   std::size_t dimension = 0;
   std::size_t value = 0;
-  auto operator<=>(const Choice&) const = default;
+  bool operator<(const Choice& other) const {
+    return dimension != other.dimension ? dimension < other.dimension : value < other.value;
+  }
 };
 using Pair = std::pair<Choice, Choice>;  // that of the lower dimension first
 
@@ -214,7 +216,7 @@
     entry.engine = static_cast<EngineId>(i + 1);
     entry.zone = static_cast<std::uint16_t>(i % zones);
     entry.kind = i % 3 == 0 ? 1 : 0;
-    const int placed = static_cast<int>((i / zones) / kPlacedPerCell);  // within its zone
+    const int placed = i / zones / kPlacedPerCell;  // within its zone
     entry.cell = static_cast<std::uint16_t>(placed * zones + entry.zone);
     site.engines.push_back(entry);
     EngineTraits traits;
