--- a/src/standin/rule_checker.cpp
+++ b/src/standin/rule_checker.cpp
@@ -263,7 +263,9 @@
                             const std::vector<std::vector<EngineId>>& avoided) {
   for (const auto& [id, gateway] : open_) {
     Life& life = lives_.at(id);
-    if (life.idle_told || life.out() || now - life.waits_since <= kIdleMost || MayWait(now, life)) continue;
+    if (life.idle_told || life.out()) continue;
+    if (MayWait(now, life)) life.waits_since = now;
+    if (now - life.waits_since <= kIdleMost) continue;
     const std::vector<EngineId>& out = avoided[static_cast<std::size_t>(gateway)];
     for (const IdleEngine& engine : idle) {
       if (now - engine.since <= kIdleMost || !MayTake(now, life, engine.engine)) continue;
--- a/src/standin/site_shapes.cpp
+++ b/src/standin/site_shapes.cpp
@@ -148,7 +148,7 @@
   marked.in_order = shape.Is(Dimension::kOrder, "by key");
   marked.effect = static_cast<Effect>(shape.at(Dimension::kEffect));
   marked.group = static_cast<RepeatGroup>(shape.at(Dimension::kGroup));
-  marked.repeat_window = marked.effect == Effect::kKeyed ? 10 * kSecond : 0;
+  marked.repeat_window = marked.effect == Effect::kKeyed ? 2 * kSecond : 0;
   if (shape.Is(Dimension::kBound, "zone")) marked.zones = {0};
   if (shape.Is(Dimension::kBound, "kind")) marked.kinds = {0};
 }
@@ -188,7 +188,7 @@
   s.overload_multiple = 4;
   s.fall_window = 2 * kSecond;
   s.order_settle = 300 * kMs;
-  if (shape.Is(Dimension::kBudget, "present")) s.attempt_budget = AttemptBudget{4, 0.1, 10 * kSecond};
+  if (shape.Is(Dimension::kBudget, "present")) s.attempt_budget = AttemptBudget{2, 0.01, 10 * kSecond};
   s.may_cancel = !shape.Is(Dimension::kCancel, "not allowed");
   s.may_probe = shape.Is(Dimension::kProbes, "allowed");
   s.may_copy = shape.Is(Dimension::kCopies, "allowed");
