Play the view and the leases of thousands of members in virtual time, with their cost

Change: KeeperFleet finds whom a note is for by its number, counts bytes with frames and, where asked, each machine's processor time; PeerFleet introduces members as after a datagram of each, and counts exchanges apart. src/measure/scale_view and scale_leases measure one size each. Fleets below 1,000 play as before (same instances, same draws): peers_test 24 and agreement_test 35 pass.

--- a/src/measure/decisions.cpp
+++ b/src/measure/decisions.cpp
@@ -1,7 +1,5 @@
 #include "measure/decisions.h"
 
-#include <time.h>
-
 #include <algorithm>
 #include <functional>
 #include <memory>
@@ -11,6 +9,7 @@
 #include <vector>
 
 #include "lemoncroft/gateway.h"
+#include "standin/processor_time.h"
 
 namespace lemoncroft::measure {
 namespace {
@@ -52,12 +51,6 @@
   return s;
 }
 
-double ProcessorMicroseconds() {
-  timespec at{};
-  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
-  return static_cast<double>(at.tv_sec) * 1e6 + static_cast<double>(at.tv_nsec) / 1e3;
-}
-
 // A gateway before engines that serve each attempt in its work's time, as an unloaded fleet does.
 class Mill {
  public:
@@ -127,9 +120,9 @@
 
   void Step() {
     actions_.clear();
-    const double before = ProcessorMicroseconds();
+    const double before = standin::ProcessorMicroseconds();
     gateway_.Step(now_, events_, actions_);
-    spent_us_ += ProcessorMicroseconds() - before;
+    spent_us_ += standin::ProcessorMicroseconds() - before;
     ++steps_;
     events_.clear();
     for (const Action& action : actions_) std::visit([this](const auto& a) { On(a); }, action);
--- /dev/null
+++ b/src/measure/scale_leases.cpp
@@ -0,0 +1,105 @@
+#include "measure/scale_leases.h"
+
+#include <algorithm>
+#include <string>
+
+#include "standin/keeper_fleet.h"
+
+namespace lemoncroft::measure {
+namespace {
+
+using namespace std::chrono_literals;
+using standin::Instant;
+using standin::KeeperFleet;
+
+constexpr Instant kBeginPatience = 30s, kChangePatience = 20s, kLook = 5ms;
+constexpr Instant kBetweenChanges = 500ms;
+constexpr double kNever = 1e9;  // milliseconds
+
+double InSeconds(Instant span) { return std::chrono::duration<double>(span).count(); }
+
+// What was sent, and the processor time used, by now.
+struct Totals {
+  double bytes = 0, leader_bytes = 0, leader_us = 0, others_us = 0;
+};
+
+Totals TotalsOf(const KeeperFleet& fleet, std::size_t leader) {
+  Totals totals;
+  for (std::size_t i = 0; i < fleet.size(); ++i) {
+    const KeeperFleet::Sent& sent = fleet.sent(i);
+    totals.bytes += static_cast<double>(sent.bytes);
+    if (i != leader) totals.others_us += sent.processor_us;
+  }
+  totals.leader_bytes = static_cast<double>(fleet.sent(leader).bytes);
+  totals.leader_us = fleet.sent(leader).processor_us;
+  return totals;
+}
+
+Totals Difference(const Totals& after, const Totals& before) {
+  return {after.bytes - before.bytes, after.leader_bytes - before.leader_bytes,
+          after.leader_us - before.leader_us, after.others_us - before.others_us};
+}
+
+bool RunUntilAllActOn(KeeperFleet& fleet, rules::Version version, Instant patience) {
+  const Instant until = fleet.now() + patience;
+  while (fleet.now() < until) {
+    if (fleet.AllOn(version)) return true;
+    fleet.RunFor(kLook);
+  }
+  return false;
+}
+
+std::string DocumentOf(std::size_t number, std::size_t bytes) {
+  std::string text = "change " + std::to_string(number) + " ";
+  text.resize(std::max(bytes, text.size()), 'x');
+  return text;
+}
+
+}  // namespace
+
+LeaseCost MeasureLeases(const LeasePlan& plan) {
+  KeeperFleet::Plan setup;
+  setup.seed = plan.seed;
+  setup.voters = plan.voters;
+  setup.proxies = plan.members;
+  setup.timed = true;
+  KeeperFleet fleet(setup);
+  fleet.links().usual().delay = plan.delay;
+  fleet.links().usual().spread = plan.delay;
+  LeaseCost cost;
+  cost.began = RunUntilAllActOn(fleet, 0, kBeginPatience);
+  const auto leader = fleet.Leader();
+  if (!cost.began || !leader) return cost;
+  fleet.RunFor(2s);
+
+  const Totals calm_from = TotalsOf(fleet, *leader);
+  fleet.RunFor(Instant(static_cast<Instant::rep>(plan.calm_seconds * 1e9)));
+  const Totals calm = Difference(TotalsOf(fleet, *leader), calm_from);
+  const double members = static_cast<double>(plan.members);
+  cost.bytes_per_s = calm.bytes / plan.calm_seconds / members;
+  cost.leader_bytes_per_s = calm.leader_bytes / plan.calm_seconds;
+  cost.leader_core_percent = calm.leader_us / 1e4 / plan.calm_seconds;
+  cost.member_core_percent = calm.others_us / 1e4 / plan.calm_seconds / (members - 1);
+
+  const Totals changes_from = TotalsOf(fleet, *leader);
+  const Instant begun = fleet.now();
+  for (std::size_t i = 0; i < plan.changes; ++i) {
+    const Instant since = fleet.now();
+    fleet.Propose(i * 7919 % plan.members, i, DocumentOf(i, plan.document_bytes), kChangePatience);
+    const bool in_force = RunUntilAllActOn(fleet, i + 1, kChangePatience);
+    cost.in_force_ms.push_back(in_force ? InSeconds(fleet.now() - since) * 1e3 : kNever);
+    fleet.RunFor(kBetweenChanges);
+  }
+  if (plan.changes > 0) {
+    const Totals all = Difference(TotalsOf(fleet, *leader), changes_from);
+    const double seconds = InSeconds(fleet.now() - begun), changes = static_cast<double>(plan.changes);
+    cost.bytes_per_change = (all.bytes - cost.bytes_per_s * members * seconds) / changes;
+    cost.leader_bytes_per_change = (all.leader_bytes - cost.leader_bytes_per_s * seconds) / changes;
+    cost.leader_change_percent = all.leader_us / 1e4 / seconds;
+  }
+  cost.contradiction_ms = InSeconds(fleet.contradiction()) * 1e3;
+  cost.stale_acts = fleet.stale();
+  return cost;
+}
+
+}  // namespace lemoncroft::measure
--- /dev/null
+++ b/src/measure/scale_leases.h
@@ -0,0 +1,42 @@
+// What leases and documents cost at a size, in virtual time: bytes, the leader's processor time, and how long
+// a change takes until it is in force everywhere.
+//
+// Contract. Deterministic for a seed but for processor time. Owner: none. Units: bytes of frames, without the
+// headers of UDP, TCP and IP; milliseconds; percent of one core. Not modelled: that steps take time.
+#ifndef LEMONCROFT_MEASURE_SCALE_LEASES_H_
+#define LEMONCROFT_MEASURE_SCALE_LEASES_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <vector>
+
+namespace lemoncroft::measure {
+
+struct LeasePlan {
+  std::uint64_t seed = 1;
+  std::size_t members = 125, voters = 7;
+  std::size_t changes = 5;
+  std::size_t document_bytes = 1000;
+  std::chrono::nanoseconds delay = std::chrono::microseconds(200);  // of each link, and as much spread
+  double calm_seconds = 10;
+};
+
+struct LeaseCost {
+  bool began = false;                                         // all had a lease in time
+  double bytes_per_s = 0;                                     // calm, a member
+  double leader_bytes_per_s = 0;                              // calm
+  double leader_core_percent = 0, leader_change_percent = 0;  // calm; while changes are under way
+  double member_core_percent = 0;                             // calm, the mean of those that don't lead
+  double bytes_per_change = 0;         // of all together, beyond what a calm time of that length costs
+  double leader_bytes_per_change = 0;  // likewise, of the leader alone
+  std::vector<double> in_force_ms;     // from the proposal until all act on it; 1e9: not within the patience
+  double contradiction_ms = 0;
+  std::uint64_t stale_acts = 0;
+};
+
+LeaseCost MeasureLeases(const LeasePlan& plan);
+
+}  // namespace lemoncroft::measure
+
+#endif  // LEMONCROFT_MEASURE_SCALE_LEASES_H_
--- /dev/null
+++ b/src/measure/scale_view.cpp
@@ -0,0 +1,189 @@
+#include "measure/scale_view.h"
+
+#include <malloc.h>
+
+#include <algorithm>
+#include <chrono>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "standin/peer_fleet.h"
+#include "standin/processor_time.h"
+
+namespace lemoncroft::measure {
+namespace {
+
+using standin::Instant;
+using standin::Node;
+using standin::PeerFleet;
+using standin::Process;
+
+constexpr std::size_t kSeeds = 3;
+constexpr double kSettlePatience = 60;  // seconds
+
+Instant Seconds(double seconds) { return Instant(static_cast<Instant::rep>(seconds * 1e9)); }
+
+double BytesInUse() {
+  const auto info = mallinfo2();
+  return static_cast<double>(info.uordblks + info.hblkhd);
+}
+
+std::string NameOf(Node machine) { return "proxy-" + std::to_string(machine); }
+
+std::vector<Node> Seeds() {
+  std::vector<Node> seeds(kSeeds);
+  for (Node i = 0; i < kSeeds; ++i) seeds[i] = i;
+  return seeds;
+}
+
+peers::Settings SettingsOf(std::size_t members) {
+  peers::Settings settings;
+  settings.most = std::max(settings.most, 2 * members);
+  return settings;
+}
+
+// What all members have sent by now.
+struct Totals {
+  double messages = 0, bytes = 0, datagram_bytes = 0, exchanges = 0;
+};
+
+Totals TotalsOf(const PeerFleet& fleet) {
+  Totals totals;
+  for (Process p = 0; p < fleet.size(); ++p) {
+    const PeerFleet::Sent& sent = fleet.sent(p);
+    totals.messages += static_cast<double>(sent.messages);
+    totals.bytes += static_cast<double>(sent.bytes);
+    totals.datagram_bytes += static_cast<double>(sent.bytes - sent.exchange_bytes);
+    totals.exchanges += static_cast<double>(sent.exchanges);
+  }
+  return totals;
+}
+
+// Replaces members one at a time at an even pace, seeds excepted: the old process leaves, or every second
+// time ends without a word, and a new one starts on its machine a second later.
+class Replacer {
+ public:
+  Replacer(PeerFleet& fleet, std::size_t members, double per_second)
+      : fleet_(fleet), members_(members), pace_(Seconds(1 / per_second)), next_(fleet.now()) {
+    for (Node machine = 0; machine < members; ++machine) tenants_.push_back(machine);
+  }
+
+  void Run(double seconds) {
+    const Instant until = fleet_.now() + Seconds(seconds);
+    while (fleet_.now() < until) {
+      fleet_.RunTo(std::min({until, next_, starts_.empty() ? until : starts_.front().at}));
+      if (next_ <= fleet_.now()) EndNext();
+      StartDue();
+    }
+  }
+  void StartTheRest() {
+    while (!starts_.empty()) {
+      fleet_.RunTo(std::max(fleet_.now(), starts_.front().at));
+      StartDue();
+    }
+  }
+  std::size_t replaced() const { return replaced_; }
+
+ private:
+  struct Start {
+    Instant at{};
+    Node machine = 0;
+  };
+
+  void EndNext() {
+    next_ += pace_;
+    const Node machine =
+        static_cast<Node>(kSeeds + replaced_ * kStride % (members_ - kSeeds));  // all over the fleet
+    ++replaced_;
+    if (std::any_of(starts_.begin(), starts_.end(), [&](const Start& s) { return s.machine == machine; }))
+      return;
+    if (replaced_ % 2 == 0)
+      fleet_.Kill(tenants_[machine]);
+    else
+      fleet_.Leave(tenants_[machine]);
+    starts_.push_back({fleet_.now() + std::chrono::seconds(1), machine});
+  }
+
+  void StartDue() {
+    while (!starts_.empty() && starts_.front().at <= fleet_.now()) {
+      const Node machine = starts_.front().machine;
+      starts_.erase(starts_.begin());
+      tenants_[machine] = fleet_.Start(machine, NameOf(machine), Seeds());
+    }
+  }
+
+  static constexpr std::size_t kStride = 7919;  // a prime
+
+  PeerFleet& fleet_;
+  std::size_t members_, replaced_ = 0;
+  Instant pace_, next_;
+  std::vector<Process> tenants_;  // by machine
+  std::vector<Start> starts_;
+};
+
+// Runs `play` and gives what each member sent a second, and its part of a core, in that time.
+template <typename Play>
+Totals RatesDuring(PeerFleet& fleet, std::size_t members, double& core_percent, const Play& play) {
+  const Totals before = TotalsOf(fleet);
+  const Instant since = fleet.now();
+  const double begun = standin::ProcessorMicroseconds();
+  play();
+  const double member_seconds =
+      static_cast<double>(members) * std::chrono::duration<double>(fleet.now() - since).count();
+  core_percent = (standin::ProcessorMicroseconds() - begun) / 1e4 / member_seconds;
+  const Totals after = TotalsOf(fleet);
+  return {(after.messages - before.messages) / member_seconds, (after.bytes - before.bytes) / member_seconds,
+          (after.datagram_bytes - before.datagram_bytes) / member_seconds,
+          (after.exchanges - before.exchanges) / member_seconds};
+}
+
+// Of the processes that live through it all.
+double BusiestBytes(const PeerFleet& fleet, const std::vector<std::uint64_t>& before) {
+  std::uint64_t most = 0;
+  for (Process p = 0; p < before.size(); ++p)
+    if (fleet.lives(p)) most = std::max(most, fleet.sent(p).bytes - before[p]);
+  return static_cast<double>(most);
+}
+
+}  // namespace
+
+ViewCost MeasureView(const ViewPlan& plan) {
+  ViewCost cost;
+  const double empty = BytesInUse();
+  auto fleet = std::make_unique<PeerFleet>(PeerFleet::Plan{plan.seed, SettingsOf(plan.members), 0.01});
+  for (Node machine = 0; machine < plan.members; ++machine) fleet->Start(machine, NameOf(machine), Seeds());
+  fleet->IntroduceProven();
+  fleet->RunFor(Seconds(2));
+  const double places = static_cast<double>(plan.members) * static_cast<double>(plan.members);
+  const double full = BytesInUse();
+  cost.bytes_per_member = (full - empty) / places;
+
+  const Totals calm = RatesDuring(*fleet, plan.members, cost.core_percent,
+                                  [&] { fleet->RunFor(Seconds(plan.calm_seconds)); });
+  cost.bytes_per_s = calm.bytes;
+  cost.datagram_bytes_per_s = calm.datagram_bytes;
+  cost.messages_per_s = calm.messages;
+
+  if (plan.flux_seconds > 0) {
+    Replacer replacer(*fleet, plan.members,
+                      plan.replaced_per_minute * static_cast<double>(plan.members) / 60);
+    replacer.Run(plan.flux_warm_seconds);
+    std::vector<std::uint64_t> before;
+    for (Process p = 0; p < fleet->size(); ++p) before.push_back(fleet->sent(p).bytes);
+    const Totals flux =
+        RatesDuring(*fleet, plan.members, cost.flux_core_percent, [&] { replacer.Run(plan.flux_seconds); });
+    cost.flux_bytes_per_s = flux.bytes;
+    cost.flux_exchanges_per_s = flux.exchanges;
+    cost.flux_busiest_bytes_per_s = BusiestBytes(*fleet, before) / plan.flux_seconds;
+    cost.replaced = replacer.replaced();
+    replacer.StartTheRest();
+    const auto settled = fleet->SettleWithin(Seconds(kSettlePatience));
+    if (settled) cost.settled_after_s = std::chrono::duration<double>(*settled).count();
+  }
+  fleet.reset();
+  cost.kept_after_members_went = std::max(0.0, BytesInUse() - empty) / (full - empty);
+  return cost;
+}
+
+}  // namespace lemoncroft::measure
--- /dev/null
+++ b/src/measure/scale_view.h
@@ -0,0 +1,36 @@
+// What the view of the fleet costs a member at a size, in virtual time: bytes, processor time, memory.
+//
+// Contract. Deterministic for a seed but for processor time and memory, which are this machine's. Owner:
+// none. Units: bytes of frames that a member sends, without the headers of UDP and IP; percent of one core.
+#ifndef LEMONCROFT_MEASURE_SCALE_VIEW_H_
+#define LEMONCROFT_MEASURE_SCALE_VIEW_H_
+
+#include <cstddef>
+#include <cstdint>
+
+namespace lemoncroft::measure {
+
+struct ViewPlan {
+  std::uint64_t seed = 1;
+  std::size_t members = 125;
+  double calm_seconds = 20;
+  double flux_warm_seconds = 10, flux_seconds = 10;  // replacements go on during both; the second is counted
+  double replaced_per_minute = 0.1;                  // of all members
+};
+
+struct ViewCost {
+  double bytes_per_s = 0, datagram_bytes_per_s = 0, messages_per_s = 0;  // calm, a member
+  double core_percent = 0;                                               // calm, a member
+  double flux_bytes_per_s = 0, flux_exchanges_per_s = 0, flux_core_percent = 0;
+  double flux_busiest_bytes_per_s = 0;  // of the member that sent most in flux
+  double bytes_per_member = 0;          // of memory, for each member in each view, by the allocator
+  double kept_after_members_went = 0;   // part of that memory that is still in use when all views are gone
+  double settled_after_s = -1;          // from the last replacement until all views agree; -1: not in time
+  std::size_t replaced = 0;
+};
+
+ViewCost MeasureView(const ViewPlan& plan);
+
+}  // namespace lemoncroft::measure
+
+#endif  // LEMONCROFT_MEASURE_SCALE_VIEW_H_
--- a/src/standin/keeper_fleet.cpp
+++ b/src/standin/keeper_fleet.cpp
@@ -1,7 +1,10 @@
 #include "standin/keeper_fleet.h"
 
 #include <algorithm>
+#include <charconv>
 
+#include "peerlink/frame.h"
+#include "standin/processor_time.h"
 #include "standin/voters.h"
 
 namespace lemoncroft::standin {
@@ -11,9 +14,18 @@
 
 namespace {
 constexpr Instant kTick = 5ms;  // at which acts are noted
+constexpr const char* kFleet = "trial";
+
+// Bytes that the way between proxies puts around a note (peerlink/frame.h).
+std::size_t FrameBytes() {
+  const std::string note(100, 'x');
+  return peerlink::Encode(kFleet, peerlink::Parcel{UINT64_MAX, peerlink::Part::kRules, note}).size() -
+         note.size();
 }
+}  // namespace
 
 KeeperFleet::KeeperFleet(const Plan& plan) : plan_(plan), random_(plan.seed), links_(random_()) {
+  while (lives_apart_ <= plan.proxies) lives_apart_ *= 10;
   machines_.resize(plan.proxies);
   for (std::size_t i = 0; i < plan.proxies; ++i) {
     Machine& m = machines_[i];
@@ -104,8 +116,11 @@
 }
 
 void KeeperFleet::Post(std::size_t from, std::size_t to, const rules::Note& note) {
+  static const std::size_t kFrameBytes = FrameBytes();
   const auto bytes = std::make_shared<const std::string>(rules::Encode(note));
   ++notes_;
+  ++machines_[from].sent.notes;
+  machines_[from].sent.bytes += bytes->size() + kFrameBytes;
   links_.Send(now_, static_cast<Node>(from), static_cast<Node>(to), *bytes,
               [&](Instant at, const std::string& b) {
                 queue_.push({at, order_++, to, 0, Happening::Kind::kNote, InstanceOf(from),
@@ -118,12 +133,8 @@
   for (auto outputs = m.keeper->Take(); !outputs.empty(); outputs = m.keeper->Take()) {
     for (rules::KeeperOutput& output : outputs) {
       if (const auto* post = std::get_if<rules::Post>(&output)) {
-        for (std::size_t to = 0; to < machines_.size(); ++to) {
-          const auto* name = std::get_if<agreement::Name>(&post->to);
-          const bool it =
-              name != nullptr ? *name == NameOf(to) : std::get<rules::Instance>(post->to) == InstanceOf(to);
-          if (it && to != i) Post(i, to, post->note);
-        }
+        const std::optional<std::size_t> to = MachineOf(post->to);
+        if (to && *to != i) Post(i, *to, post->note);
       } else if (std::holds_alternative<rules::Keep>(output) ||
                  std::holds_alternative<rules::KeepFounders>(output)) {
         const Instant begun = m.writing.empty() ? now_ : std::max(now_, m.writing.back().first);
@@ -152,6 +163,27 @@
   Push(std::max(at, now_ + 1us), i, Happening::Kind::kStep, m.life);
 }
 
+std::optional<std::size_t> KeeperFleet::MachineOf(
+    const std::variant<agreement::Name, rules::Instance>& to) const {
+  std::size_t machine = machines_.size();
+  if (const auto* name = std::get_if<agreement::Name>(&to)) {
+    if (!name->empty()) std::from_chars(name->data() + 1, name->data() + name->size(), machine);
+  } else {
+    machine = static_cast<std::size_t>((std::get<rules::Instance>(to) - 1) % lives_apart_);
+  }
+  if (machine >= machines_.size()) return std::nullopt;
+  const bool same = std::holds_alternative<agreement::Name>(to)
+                        ? std::get<agreement::Name>(to) == NameOf(machine)
+                        : std::get<rules::Instance>(to) == InstanceOf(machine);
+  return same ? std::optional(machine) : std::nullopt;
+}
+
+void KeeperFleet::HandleTimed(const Happening& h) {
+  const double begun = ProcessorMicroseconds();
+  Handle(h);
+  machines_[h.machine].sent.processor_us += ProcessorMicroseconds() - begun;
+}
+
 void KeeperFleet::Handle(const Happening& h) {
   Machine& m = machines_[h.machine];
   if (m.keeper == nullptr || (h.life != 0 && h.life != m.life)) return;
@@ -195,7 +227,10 @@
       const Happening h = queue_.top();
       queue_.pop();
       now_ = std::max(now_, h.at);
-      Handle(h);
+      if (plan_.timed)
+        HandleTimed(h);
+      else
+        Handle(h);
     }
     now_ = tick;
     Note();
--- a/src/standin/keeper_fleet.h
+++ b/src/standin/keeper_fleet.h
@@ -31,6 +31,7 @@
     double drift = 0.005;                              // of each clock from true time
     Instant sync = std::chrono::milliseconds(2);       // of a disk
     Instant stated = std::chrono::milliseconds(1200);  // T of docs/agreement.md
+    bool timed = false;  // the processor time of each machine's steps is counted
   };
   explicit KeeperFleet(const Plan& plan);
 
@@ -68,6 +69,12 @@
   std::uint64_t stale() const { return stale_; }
   const std::vector<std::string>& broken() const { return broken_; }
   std::uint64_t notes() const { return notes_; }
+  struct Sent {
+    std::uint64_t notes = 0, bytes = 0;  // frames and all
+    double processor_us = 0;             // within its Keeper and the codec of notes; 0: not timed
+  };
+  const Sent& sent(std::size_t i) const { return machines_[i].sent; }
+  std::size_t size() const { return machines_.size(); }
 
  private:
   struct Machine {
@@ -79,6 +86,7 @@
     Instant held_until{}, sync{};
     std::uint64_t life = 0;
     rules::Version applied = 0;
+    Sent sent;
   };
   struct Happening {
     Instant at{};
@@ -94,9 +102,12 @@
   };
 
   agreement::Time Local(const Machine& m) const;
-  rules::Instance InstanceOf(std::size_t i) const { return 1000 * machines_[i].life + i + 1; }
+  rules::Instance InstanceOf(std::size_t i) const { return lives_apart_ * machines_[i].life + i + 1; }
+  // The machine whose process now has that name or instance.
+  std::optional<std::size_t> MachineOf(const std::variant<agreement::Name, rules::Instance>& to) const;
   void Push(Instant at, std::size_t machine, Happening::Kind kind, std::uint64_t life);
   void Handle(const Happening& happening);
+  void HandleTimed(const Happening& happening);
   void Carry(std::size_t i);
   void Post(std::size_t from, std::size_t to, const rules::Note& note);
   void Note();
@@ -106,6 +117,7 @@
   Links links_;
   Instant now_{};
   std::uint64_t order_ = 0, notes_ = 0, ids_ = 0;
+  rules::Instance lives_apart_ = 1000;  // between the instances of two lives of a machine
   std::priority_queue<Happening, std::vector<Happening>, std::greater<>> queue_;
   std::vector<Machine> machines_;
   std::map<std::string, rules::Outcome> outcomes_;
--- a/src/standin/peer_fleet.cpp
+++ b/src/standin/peer_fleet.cpp
@@ -72,6 +72,19 @@
   }
 }
 
+void PeerFleet::IntroduceProven() {
+  Introduce();
+  std::vector<Datagram> said;
+  for (Process p = 0; p < size(); ++p)
+    if (lives(p)) said.push_back({view(p).roster().own().record, view(p).roster().digest(), Gossip{}, {}});
+  for (Process p = 0; p < size(); ++p) {
+    if (!lives(p)) continue;
+    for (const Datagram& datagram : said)
+      if (datagram.sender.id != id(p)) view(p).Receive(Local(processes_[p], now_), datagram);
+    Carry(p);
+  }
+}
+
 void PeerFleet::Kill(Process process) {
   Running& r = processes_[process];
   if (r.view == nullptr) return;
@@ -112,6 +125,11 @@
   processes_[process].sent.bytes += bytes;
 }
 
+void PeerFleet::CountExchange(Process process, std::size_t bytes) {
+  Count(process, bytes);
+  processes_[process].sent.exchange_bytes += bytes;
+}
+
 void PeerFleet::Trace(Process process, const std::string& bytes) {
   trace_ = XXH3_64bits_withSeed(bytes.data(), bytes.size(),
                                 trace_ + process + static_cast<std::uint64_t>(now_.count()));
@@ -136,7 +154,8 @@
       const auto to = tenants_.find(exchange->to);
       if (to == tenants_.end()) continue;
       std::string bytes = peerlink::Encode(kFleet, r.view->Open(Local(r, now_)));
-      Count(process, bytes.size());
+      ++r.sent.exchanges;
+      CountExchange(process, bytes.size());
       Trace(process, bytes);
       Put(now_ + kStreamTrip, Kind::kStream, to->second, process, std::move(bytes));
     }
@@ -186,13 +205,14 @@
       // The three messages of an exchange are played in one instant: what a cut in the midst of one costs is
       // shown on real sockets.
       const std::string answer = peerlink::Encode(kFleet, r.view->Answer(local, *opening));
-      Count(h.process, answer.size());
+      CountExchange(h.process, answer.size());
       Trace(h.process, answer);
       const auto answered = peerlink::Decode(kFleet, answer, peerlink::kStreamMost);
-      const Entries last =
-          other.view->Close(Local(other, now_), std::get<Entries>(std::get<peerlink::Message>(answered)));
+      const auto* entries = std::get_if<peerlink::Message>(&answered);
+      if (entries == nullptr) break;  // too long for a stream's message: it is given up
+      const Entries last = other.view->Close(Local(other, now_), std::get<Entries>(*entries));
       const std::string closing = peerlink::Encode(kFleet, last);
-      Count(h.from, closing.size());
+      CountExchange(h.from, closing.size());
       Trace(h.from, closing);
       r.view->Finish(local, last);
       Carry(h.from);
--- a/src/standin/peer_fleet.h
+++ b/src/standin/peer_fleet.h
@@ -39,6 +39,7 @@
   };
   struct Sent {
     std::uint64_t messages = 0, bytes = 0;
+    std::uint64_t exchanges = 0, exchange_bytes = 0;  // of these: exchanges opened, and all their messages
   };
 
   explicit PeerFleet(const Plan& plan);
@@ -48,6 +49,8 @@
   Process Start(Node machine, const std::string& name, const std::vector<Node>& seeds, bool second = false);
   // All that live know each other from here on, as after joins long ago.
   void Introduce();
+  // Likewise, and each has had a datagram of each: nobody is known by hearsay alone.
+  void IntroduceProven();
   void Kill(Process process);
   void Leave(Process process);  // says so, and ends a gossip beat later
   void Stall(Process process, Instant span);
@@ -112,6 +115,7 @@
   void Handle(Happening& happening);
   void Carry(Process process);  // carries out what the view wants
   void Count(Process process, std::size_t bytes);
+  void CountExchange(Process process, std::size_t bytes);
   void Trace(Process process, const std::string& bytes);
 
   Plan plan_;
--- /dev/null
+++ b/src/standin/processor_time.h
@@ -0,0 +1,17 @@
+// The processor time that the calling thread has used, for measurements.
+#ifndef LEMONCROFT_STANDIN_PROCESSOR_TIME_H_
+#define LEMONCROFT_STANDIN_PROCESSOR_TIME_H_
+
+#include <time.h>
+
+namespace lemoncroft::standin {
+
+inline double ProcessorMicroseconds() {
+  timespec at{};
+  ::clock_gettime(CLOCK_THREAD_CPUTIME_ID, &at);
+  return static_cast<double>(at.tv_sec) * 1e6 + static_cast<double>(at.tv_nsec) / 1e3;
+}
+
+}  // namespace lemoncroft::standin
+
+#endif  // LEMONCROFT_STANDIN_PROCESSOR_TIME_H_
