--- a/src/peers/roster.cpp
+++ b/src/peers/roster.cpp
@@ -37,6 +37,17 @@
   if (!member.living()) return;
   sums_[member.record.id % kBuckets] += sign * Hash(member.record);
   ++changes_;
+  if (member.record.phase == Phase::kServing) CountServing(member.record.name, sign == 1);
+}
+
+void Roster::CountServing(const std::string& name, bool more) {
+  std::size_t& count = serving_[name];
+  count += more ? 1 : std::size_t(-1);
+  if (count > 1)
+    shared_.insert(name);
+  else
+    shared_.erase(name);
+  if (count == 0) serving_.erase(name);
 }
 
 std::uint64_t Roster::digest() const {
@@ -56,11 +67,13 @@
   if (!living) {
     if (living_.erase(id) == 0) return;
     Remove(others_, id);
+    if (!member.proof) Remove(unproven_, id);
     const auto place = places_.find(member.record.address);
     place->second.erase(id);
     if (place->second.empty()) places_.erase(place);
   } else if (living_.insert(id).second) {
     if (id != self_) others_.push_back(id);
+    if (id != self_ && !member.proof) unproven_.push_back(id);
     places_[member.record.address].insert(id);
   }
 }
@@ -147,7 +160,11 @@
 
 void Roster::ClearAccusers(InstanceId id) { members_.at(id).accusers.clear(); }
 
-void Roster::Prove(Time now, InstanceId id) { members_.at(id).proof = now; }
+void Roster::Prove(Time now, InstanceId id) {
+  Member& member = members_.at(id);
+  if (member.living() && !member.proof) Remove(unproven_, id);
+  member.proof = now;
+}
 
 void Roster::Erase(InstanceId id) {
   Member& member = members_.at(id);
--- a/src/peers/roster.h
+++ b/src/peers/roster.h
@@ -9,6 +9,7 @@
 #include <map>
 #include <optional>
 #include <set>
+#include <string>
 #include <unordered_map>
 #include <vector>
 
@@ -40,6 +41,11 @@
   // Those alive or suspected, this proxy left out, in the order of their coming (but for places refilled).
   const std::vector<InstanceId>& others() const { return others_; }
   const std::vector<InstanceId>& failed() const { return failed_; }
+  // Of the others those that gave no proof of life yet.
+  const std::vector<InstanceId>& unproven() const { return unproven_; }
+  // Names under which living instances serve, how many each; and those that more than one has.
+  const std::map<std::string, std::size_t>& serving() const { return serving_; }
+  const std::set<std::string>& shared() const { return shared_; }
   // A living instance that has this address; kNobody where there is none.
   InstanceId At(const Endpoint& address) const;
 
@@ -72,6 +78,7 @@
  private:
   bool MakeRoom(Time now, bool proven);
   void Count(const Member& member, std::uint64_t sign);  // into or out of the sums
+  void CountServing(const std::string& name, bool more);
   void Enlist(InstanceId id, bool living);
   static void Remove(std::vector<InstanceId>& from, InstanceId id);
   void Erase(InstanceId id);
@@ -81,7 +88,9 @@
   const Guards guards_;
   std::map<InstanceId, Member> members_;
   std::set<InstanceId> living_;
-  std::vector<InstanceId> others_, failed_;
+  std::vector<InstanceId> others_, failed_, unproven_;
+  std::map<std::string, std::size_t> serving_;
+  std::set<std::string> shared_;
   std::map<Endpoint, std::set<InstanceId>> places_;
   std::set<std::pair<Time, InstanceId>> due_;
   struct Stone {
--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -3,8 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <cmath>
-#include <set>
-#include <string_view>
+#include <iterator>
 #include <utility>
 
 namespace lemoncroft::peers {
@@ -184,12 +183,8 @@
 // Names under which two processes serve, neither of which is about to end.
 void View::NoteContested() {
   if (std::exchange(contested_at_, roster_.changes()) != roster_.changes()) {
-    std::map<std::string_view, int> serving;
-    for (const auto& [id, member] : roster_.all())
-      if (member.living() && member.record.phase == Phase::kServing) ++serving[member.record.name];
-    std::erase_if(contested_since_, [&](const auto& c) { return serving[c.first] < 2; });
-    for (const auto& [name, count] : serving)
-      if (count > 1) contested_since_.try_emplace(std::string(name), beats_);
+    std::erase_if(contested_since_, [&](const auto& c) { return !roster_.shared().contains(c.first); });
+    for (const std::string& name : roster_.shared()) contested_since_.try_emplace(name, beats_);
   }
   const std::string& own = roster_.own().record.name;
   const auto it = contested_since_.find(own);
@@ -278,7 +273,7 @@
       round.pop_back();
       if (fits(id)) return id;
     }
-    for (const InstanceId id : roster_.others())
+    for (const InstanceId id : proven ? roster_.others() : roster_.unproven())
       if (fits(id)) round.push_back(id);
     for (std::size_t i = round.size(); i > 1; --i) std::swap(round[i - 1], round[Below(i)]);
   }
@@ -795,9 +790,7 @@
 // ---- What it shows ----
 
 Standing View::standing() const {
-  std::set<std::string> names;
-  for (const auto& [id, member] : roster_.all())
-    if (member.living() && member.record.phase == Phase::kServing) names.insert(member.record.name);
+  const std::map<std::string, std::size_t>& names = roster_.serving();
   Standing standing;
   standing.serving = static_cast<int>(names.size());
   if (roster_.own().record.phase == Phase::kServing)
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -1,13 +1,15 @@
-// What grows with the fleet stays bounded: the leader's books, bytes in flux, memory.
+// What grows with the fleet stays bounded: the leader's books, the work of a view, bytes in flux, memory.
 #include <gtest/gtest.h>
 
 #include <algorithm>
 #include <limits>
+#include <map>
 #include <random>
 #include <string>
 
 #include "measure/scale_leases.h"
 #include "measure/scale_view.h"
+#include "peers/view.h"
 #include "rules/lease.h"
 #include "standin/processor_time.h"
 
@@ -100,6 +102,97 @@
   EXPECT_LE(granter.booked(), 1100u) << "a lease of 1 s, a new holder each millisecond";
 }
 
+// ---- The view ----
+
+peers::Record RecordOf(peers::InstanceId id) {
+  peers::Record record;
+  record.id = id;
+  record.name = "n" + std::to_string(id);
+  record.address = {0x7f000000 + static_cast<std::uint32_t>(id), 7000};
+  record.phase = peers::Phase::kServing;
+  return record;
+}
+
+// A view of so many members, all of which gave proof of life but `unproven`.
+class LargeView {
+ public:
+  LargeView(std::size_t members, std::size_t unproven) : members_(members) {
+    for (peers::InstanceId id = 2; id <= members; ++id) {
+      if (id > members - unproven)
+        view_.Finish(now_, {RecordOf(2), {}, {{peers::Status::kAlive, RecordOf(id), peers::kNobody}}});
+      else
+        view_.Receive(now_, {RecordOf(id), 0, peers::Gossip{}, {}});
+    }
+    view_.Take();
+  }
+
+  // Of a period, in which a member changes what it says of itself.
+  double MicrosecondsAPeriod() {
+    double least = std::numeric_limits<double>::max();
+    for (int round = 0; round < kRounds; ++round) {
+      const double begun = ProcessorMicroseconds();
+      for (int period = 0; period < kPeriods; ++period) PlayPeriod();
+      least = std::min(least, (ProcessorMicroseconds() - begun) / kPeriods);
+    }
+    return least;
+  }
+  const peers::View& view() const { return view_; }
+
+ private:
+  static constexpr int kPeriods = 100;
+
+  static peers::Settings SettingsOf() {
+    peers::Settings settings;
+    settings.most = 8192;
+    return settings;
+  }
+
+  void PlayPeriod() {
+    peers::Record changed = RecordOf(2 + ++changes_ % 8);
+    changed.incarnation = 1 + changes_;
+    view_.Receive(now_, {changed, 0, peers::Gossip{}, {}});
+    for (const peers::Time until = now_ + 250ms; now_ < until;) {
+      now_ = std::min(until, std::max(now_ + 1us, view_.due()));
+      view_.Step(now_);
+      Answer();
+    }
+  }
+
+  void Answer() {
+    for (const peers::Output& output : view_.Take()) {
+      const auto* transmit = std::get_if<peers::Transmit>(&output);
+      const auto* ping = transmit == nullptr ? nullptr : std::get_if<peers::Ping>(&transmit->datagram.body);
+      if (ping != nullptr && ping->target > 9 && ping->target <= members_ / 2)
+        view_.Receive(now_, {RecordOf(ping->target), 0, peers::Ack{ping->number, ping->target}, {}});
+    }
+  }
+
+  std::size_t members_;
+  std::uint64_t changes_ = 0;
+  peers::Time now_{1h};
+  peers::View view_{SettingsOf(), RecordOf(1), 1, now_};
+};
+
+TEST(LargeView, APeriodCostsAboutTheSameHoweverManyMembersThereAre) {
+  for (const std::size_t unproven : {0u, 5u}) {
+    const double few = LargeView(250, unproven).MicrosecondsAPeriod();
+    const double many = LargeView(4000, unproven).MicrosecondsAPeriod();
+    EXPECT_LE(many, kGrowthMost * few)
+        << few << " us with 250 members, " << many << " us with 4,000, unproven " << unproven;
+  }
+}
+
+TEST(LargeView, CountsWhoServesAsAWalkOfAllMembersDoes) {
+  const LargeView large(300, 5);
+  std::map<std::string, std::size_t> serving;
+  for (const auto& [id, member] : large.view().roster().all())
+    if (member.living() && member.record.phase == peers::Phase::kServing) ++serving[member.record.name];
+  EXPECT_EQ(large.view().roster().serving(), serving);
+  EXPECT_EQ(large.view().standing().serving, 300);
+  EXPECT_EQ(large.view().standing().place, 0);
+  EXPECT_EQ(large.view().roster().unproven().size(), 5u);
+}
+
 // ---- The small scale run: the same figures each time ----
 
 constexpr double kControlBytes = 22'000;  // a second and proxy: the operators' target
