Begin with any of the seeds, not with the first, when joining a fleet

Cause: every newcomer asked the first seed for the whole list of members: with a tenth of 2,000 members replaced each minute that seed sent 273 kB a second, at 4,000 1.03 MB. Change: the seeds are gone through from a random one on. Tried and taken back: exchanges that back off by what they cost (a bucket of 6 kB a second and 256 kB).

--- a/src/peers/view.cpp
+++ b/src/peers/view.cpp
@@ -56,6 +56,7 @@
       next_beat_(now),
       expected_(now),
       number_(static_cast<std::uint32_t>(random_())),
+      next_seed_(number_),
       exchanged_(now - Periods(kExchangeEvery)) {
   // Spread over the period: proxies that start together must not strike together.
   next_probe_ += Span(Below(static_cast<std::size_t>(set_.period.count())));
