Let a fleet tell the versions that its proxies act on at a bounded pace

At the operators' rate (a change in 3.76 s) a proxy of 125 / 250 / 500 sent 18 / 32 / 47 kB a second for that alone, against 22 allowed for all of control; and a leader's end, when all are cut off at once, did the same. Beside it each proxy listed all members anew 20 times a second for its keeper. Change: rules::TellPace: a proxy tells after a random time of up to 2 x 250 ms x members, the newest only, so that the fleet tells four changes a second in the mean; the list of members is made where the roster has changed. Harm: at 4,000 proxies it is up to half an hour old; at seven up to 3.5 s.

--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -166,7 +166,8 @@
       directory_(directory),
       tell_(std::move(tell)),
       own_(std::move(own)),
-      keeper_(TermsOf(settings, name), fleet.view().roster().self(), ChecksOf(), Draw(), Now()) {
+      keeper_(TermsOf(settings, name), fleet.view().roster().self(), ChecksOf(), Draw(), Now()),
+      tell_pace_(Draw()) {
   const bool votes = std::find(settings.voters.begin(), settings.voters.end(), name) != settings.voters.end();
   if (votes && settings.store.empty())
     throw ConfigError("rules: " + name + " is one of the voters: it needs a `store`");
@@ -427,14 +428,23 @@
                   MonoUs(Now()));
     const std::string shown = std::to_string(applied_) + "/" + std::to_string(keeper_.holder().prepared()) +
                               (cut_off ? "/cut-off" : "");
-    if (std::exchange(shown_, shown) != shown) fleet_.link().SetAttribute(kRulesKey, shown);
-    std::vector<rules::Instance> others;
-    for (const auto& [id, member] : fleet_.view().roster().all())
-      if (member.status == peers::Status::kAlive && id != fleet_.view().roster().self()) others.push_back(id);
-    keeper_.SetPeers(std::move(others));
+    const peers::Roster& roster = fleet_.view().roster();
+    if (tell_pace_.MayTell(Now(), shown != shown_, roster.living())) {
+      shown_ = shown;
+      fleet_.link().SetAttribute(kRulesKey, shown);
+    }
+    if (std::exchange(peers_as_of_, roster.changes()) != roster.changes()) SetPeers();
   }
 }
 
+void Rules::SetPeers() {
+  std::vector<rules::Instance> others;
+  const peers::Roster& roster = fleet_.view().roster();
+  for (const auto& [id, member] : roster.all())
+    if (member.status == peers::Status::kAlive && id != roster.self()) others.push_back(id);
+  keeper_.SetPeers(std::move(others));
+}
+
 std::vector<std::pair<std::string, std::uint64_t>> Rules::Figures() const {
   const rules::Holder& holder = keeper_.holder();
   const auto left =
--- /dev/null
+++ b/src/rules/tell_pace.h
@@ -0,0 +1,52 @@
+// When a proxy tells the fleet something of itself that all others have to tell at the same time: a version
+// that came into force, a lease that ran out. Told at once by thousands it would be a news of each to each.
+//
+// Contract. No I/O, no clock, deterministic for a seed. A fleet of n tells at most one such change in
+// kTellApart, in the mean, however often changes come; only the newest is told. Owner: one thread. Units:
+// spans of time. Errors: none.
+#ifndef LEMONCROFT_RULES_TELL_PACE_H_
+#define LEMONCROFT_RULES_TELL_PACE_H_
+
+#include <chrono>
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <random>
+
+#include "rules/lease.h"
+
+namespace lemoncroft::rules {
+
+inline constexpr Span kTellApart = std::chrono::milliseconds(250);  // of the whole fleet's
+
+class TellPace {
+ public:
+  explicit TellPace(std::uint64_t seed) : random_(seed) {}
+
+  // `changed`: what was told last isn't so any more. True where it is to be told now.
+  bool MayTell(Time now, bool changed, std::size_t members) {
+    if (!changed) {
+      due_.reset();
+      return false;
+    }
+    if (!due_) due_ = now + Delay(members);
+    if (now < *due_) return false;
+    due_.reset();
+    return true;
+  }
+
+ private:
+  // Between nothing and twice the mean: those who heard of a change together don't tell of it together.
+  Span Delay(std::size_t members) {
+    const double mean = std::chrono::duration<double>(kTellApart).count() * static_cast<double>(members);
+    const double drawn = 2 * mean * static_cast<double>(random_() >> 11) * 0x1.0p-53;
+    return Span(static_cast<Span::rep>(drawn * 1e9));
+  }
+
+  std::mt19937_64 random_;
+  std::optional<Time> due_;
+};
+
+}  // namespace lemoncroft::rules
+
+#endif  // LEMONCROFT_RULES_TELL_PACE_H_
