--- a/src/cli/fleet.cpp
+++ b/src/cli/fleet.cpp
@@ -162,6 +162,8 @@
           {"fleet.received", f.received},
           {"fleet.exchanges", f.exchanges},
           {"fleet.exchanges_failed", f.exchanges_failed},
+          {"fleet.exchange_bytes", f.exchange_bytes},
+          {"fleet.parcel_bytes", f.parcel_bytes},
           {"fleet.refused", view.refused()},
           {"fleet.dropped", faults}};
 }
--- /dev/null
+++ b/src/measure/hollow_fleet.cpp
@@ -0,0 +1,263 @@
+#include "measure/hollow_fleet.h"
+
+#include <malloc.h>
+#include <unistd.h>
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <thread>
+#include <utility>
+
+#include "peerlink/link.h"
+#include "rules/keeper.h"
+#include "standin/processor_time.h"
+
+namespace lemoncroft::measure {
+namespace {
+
+using namespace std::chrono_literals;
+using runtime::Now;
+using runtime::Task;
+using runtime::Time;
+
+constexpr std::uint32_t kFirstHost = 0x7f100001;  // 127.16.0.1
+constexpr std::size_t kSeeds = 3;
+constexpr runtime::Span kBetweenStarts = 2ms, kLook = 5ms, kSettleLook = 250ms, kLagBeat = 10ms;
+constexpr runtime::Span kChangePatience = 10s, kBetweenChanges = 500ms;
+constexpr double kNotInTime = 1e9;
+constexpr int kFirstPort = 20'000, kPorts = 10'000;  // below those that the system gives out
+
+std::string NameOf(std::size_t i) { return "h" + std::to_string(i); }
+peers::Endpoint AddressOf(const HollowPlan& plan, std::size_t i) {
+  return {kFirstHost + static_cast<std::uint32_t>(i), plan.port};
+}
+double Milliseconds(runtime::Span span) { return std::chrono::duration<double, std::milli>(span).count(); }
+double SecondsOf(runtime::Span span) { return std::chrono::duration<double>(span).count(); }
+
+peerlink::Terms TermsOf(const HollowPlan& plan, std::size_t i) {
+  peerlink::Terms terms;
+  terms.fleet = "hollow";
+  terms.name = NameOf(i);
+  terms.zone = "z" + std::to_string(i % 20);
+  terms.listen = terms.advertise = {AddressOf(plan, i)};
+  terms.view.most = std::max(terms.view.most, 2 * plan.members);
+  for (std::size_t seed = 0; seed < std::min(kSeeds, plan.members); ++seed)
+    terms.view.seeds.push_back(AddressOf(plan, seed));
+  return terms;
+}
+
+rules::KeeperTerms KeeperTermsOf(const HollowPlan& plan, std::size_t i) {
+  rules::KeeperTerms terms;
+  terms.self = NameOf(i);
+  for (std::size_t voter = 0; voter < plan.voters; ++voter) terms.first.push_back(NameOf(voter));
+  return terms;
+}
+
+rules::Keeper::Checks ChecksOf() {
+  return {[](const rules::Written*, const std::string&) { return std::string(); },
+          [](const std::string&) { return std::string(); },
+          [](const std::string&) { return std::uint64_t{1}; },
+          [](const std::string&) { return rules::Span(); }};
+}
+
+// One proxy without clients and engines, as cli::Fleet and cli::Rules put it together.
+class HollowProxy {
+ public:
+  HollowProxy(runtime::Loop& loop, const HollowPlan& plan, std::size_t i)
+      : loop_(loop),
+        link_(loop, TermsOf(plan, i), plan.seed + i, [](const peers::Event&) {}),
+        keeper_(KeeperTermsOf(plan, i), link_.view().roster().self(), ChecksOf(), plan.seed + i, Now()),
+        store_(i < plan.voters ? i + 1 : 0) {
+    link_.on_parcel = [this](const peerlink::Parcel& parcel) {
+      const auto note = rules::DecodeNote(parcel.bytes);
+      if (!note) return;
+      keeper_.Receive(Now(), parcel.from, *note);
+      CarryOut();
+    };
+  }
+
+  void Start() {
+    link_.Start();
+    link_.SetPhase(peers::Phase::kServing);
+    if (store_ != 0) keeper_.OpenStore(Now(), {store_, {}, {}});
+    CarryOut();
+    loop_.Spawn(Beat());
+  }
+  void Propose(const rules::Change& change) {
+    keeper_.ProposeChange(Now(), change, Now() + kChangePatience);
+    CarryOut();
+  }
+  const peers::View& view() const { return link_.view(); }
+  const peerlink::Figures& figures() const { return link_.figures(); }
+  bool ActsOn(rules::Version version) const { return keeper_.MayAct(Now()) == version; }
+
+ private:
+  Task<> Beat() {
+    for (;;) {
+      planned_ = keeper_.due();
+      if (planned_ > Now()) co_await runtime::Waiter(loop_, &sooner_, planned_);
+      planned_ = runtime::kNever;
+      if (keeper_.due() <= Now()) {
+        keeper_.Step(Now());
+        CarryOut();
+      }
+      co_await loop_.NextTurn();
+    }
+  }
+
+  void CarryOut() {
+    for (auto outputs = keeper_.Take(); !outputs.empty(); outputs = keeper_.Take())
+      for (const rules::KeeperOutput& output : outputs) CarryOut(output);
+    if (keeper_.due() < planned_) sooner_.Open();
+  }
+
+  void CarryOut(const rules::KeeperOutput& output) {
+    if (const auto* post = std::get_if<rules::Post>(&output)) {
+      if (const peers::Member* to = Reach(post->to))
+        link_.Post(to->record.address, peerlink::Part::kRules, rules::Encode(post->note));
+    } else if (const auto* keep = std::get_if<rules::Keep>(&output)) {
+      keeper_.Durable(Now(), keep->store.number);
+    } else if (std::holds_alternative<rules::KeepFounders>(output)) {
+      keeper_.FoundersKept(Now());
+    } else if (const auto* learnt = std::get_if<rules::Learnt>(&output)) {
+      keeper_.Prepared(Now(), learnt->version);
+    }
+  }
+
+  const peers::Member* Reach(const std::variant<agreement::Name, rules::Instance>& to) const {
+    const peers::Roster& roster = view().roster();
+    if (const auto* instance = std::get_if<rules::Instance>(&to)) return roster.Find(*instance);
+    for (const auto& [id, member] : roster.all())
+      if (member.record.name == std::get<agreement::Name>(to)) return &member;
+    return nullptr;
+  }
+
+  runtime::Loop& loop_;
+  peerlink::Link link_;
+  rules::Keeper keeper_;
+  std::uint64_t store_;
+  runtime::Gate sooner_;
+  Time planned_ = runtime::kNever;
+};
+
+// What all members have sent, and the processor time used, by now.
+struct Totals {
+  double datagram_bytes = 0, exchange_bytes = 0, parcel_bytes = 0, processor_us = 0;
+};
+
+class HollowRun {
+ public:
+  explicit HollowRun(const HollowPlan& plan) : plan_(plan) {}
+
+  HollowCost Play() {
+    loop_.Spawn(Script());
+    loop_.Spawn(WatchLag());
+    loop_.Run();
+    return cost_;
+  }
+
+ private:
+  Task<> Script() {
+    const Time begun = Now();
+    const double empty = BytesInUse();
+    for (std::size_t i = 0; i < plan_.members; ++i) {
+      proxies_.push_back(std::make_unique<HollowProxy>(loop_, plan_, i));
+      proxies_.back()->Start();
+      co_await loop_.Sleep(kBetweenStarts);
+    }
+    while (!Settled() && Now() < begun + plan_.patience) co_await loop_.Sleep(kSettleLook);
+    cost_.settled = Settled();
+    cost_.settled_after_s = SecondsOf(Now() - begun);
+    const double places = static_cast<double>(plan_.members) * static_cast<double>(plan_.members);
+    cost_.bytes_per_member = (BytesInUse() - empty) / places;
+    if (cost_.settled) {
+      measured_ = true;
+      co_await MeasureCalm();
+      for (std::size_t i = 0; i < plan_.changes; ++i) co_await MeasureChange(i);
+      measured_ = false;
+    }
+    cost_.is_void = cost_.longest_lag_ms > Milliseconds(kLagMost);
+    loop_.Stop();
+  }
+
+  Task<> MeasureCalm() {
+    const Totals before = TotalsNow();
+    const Time since = Now();
+    if (plan_.held_for > 0ms) std::this_thread::sleep_for(plan_.held_for);
+    co_await loop_.Sleep(plan_.calm);
+    const Totals after = TotalsNow();
+    const double member_seconds = static_cast<double>(plan_.members) * SecondsOf(Now() - since);
+    cost_.datagram_bytes_per_s = (after.datagram_bytes - before.datagram_bytes) / member_seconds;
+    cost_.view_bytes_per_s =
+        cost_.datagram_bytes_per_s + (after.exchange_bytes - before.exchange_bytes) / member_seconds;
+    cost_.lease_bytes_per_s = (after.parcel_bytes - before.parcel_bytes) / member_seconds;
+    cost_.core_percent = (after.processor_us - before.processor_us) / 1e4 / member_seconds;
+  }
+
+  Task<> MeasureChange(std::size_t number) {
+    rules::Change change;
+    change.id = "c" + std::to_string(number);
+    change.from = number;
+    change.text.assign(plan_.document_bytes, static_cast<char>('a' + number % 26));
+    change.by = NameOf(0);
+    const Time since = Now();
+    proxies_[number * 7919 % proxies_.size()]->Propose(change);
+    while (!AllActOn(number + 1) && Now() < since + kChangePatience) co_await loop_.Sleep(kLook);
+    cost_.in_force_ms.push_back(AllActOn(number + 1) ? Milliseconds(Now() - since) : kNotInTime);
+    co_await loop_.Sleep(kBetweenChanges);
+  }
+
+  Task<> WatchLag() {
+    for (;;) {
+      const Time due = Now() + kLagBeat;
+      co_await loop_.SleepUntil(due);
+      if (measured_) cost_.longest_lag_ms = std::max(cost_.longest_lag_ms, Milliseconds(Now() - due));
+    }
+  }
+
+  bool Settled() const {
+    const std::uint64_t digest = proxies_.front()->view().roster().digest();
+    return std::all_of(proxies_.begin(), proxies_.end(),
+                       [&](const auto& proxy) {
+                         const peers::Roster& roster = proxy->view().roster();
+                         return roster.digest() == digest && roster.unproven().empty();
+                       }) &&
+           proxies_.front()->view().roster().living() == plan_.members && AllActOn(0);
+  }
+  bool AllActOn(rules::Version version) const {
+    return std::all_of(proxies_.begin(), proxies_.end(),
+                       [&](const auto& proxy) { return proxy->ActsOn(version); });
+  }
+
+  Totals TotalsNow() const {
+    Totals totals;
+    for (const auto& proxy : proxies_) {
+      totals.datagram_bytes += static_cast<double>(proxy->figures().sent_bytes);
+      totals.exchange_bytes += static_cast<double>(proxy->figures().exchange_bytes);
+      totals.parcel_bytes += static_cast<double>(proxy->figures().parcel_bytes);
+    }
+    totals.processor_us = standin::ProcessorMicroseconds();
+    return totals;
+  }
+  static double BytesInUse() {
+    const auto info = mallinfo2();
+    return static_cast<double>(info.uordblks + info.hblkhd);
+  }
+
+  const HollowPlan& plan_;
+  HollowCost cost_;
+  bool measured_ = false;
+  runtime::Loop loop_;  // Run() ends its tasks before the proxies that they work on go
+  std::vector<std::unique_ptr<HollowProxy>> proxies_;
+};
+
+}  // namespace
+
+HollowCost RunHollowFleet(const HollowPlan& plan) {
+  HollowPlan own = plan;
+  if (own.port == 0) own.port = static_cast<std::uint16_t>(kFirstPort + ::getpid() % kPorts);
+  return HollowRun(own).Play();
+}
+
+}  // namespace lemoncroft::measure
--- a/src/measure/main.cpp
+++ b/src/measure/main.cpp
@@ -9,6 +9,7 @@
 #include "measure/line_cost.h"
 #include "measure/morning.h"
 #include "measure/peers.h"
+#include "measure/scale.h"
 
 namespace {
 
@@ -70,6 +71,13 @@
   std::printf("%s\n", out.dump().c_str());
 }
 
+void Print(const ordered_json& out, bool json) {
+  if (!json)
+    for (const auto& [name, value] : out.items())
+      std::printf("  %-36s %s\n", name.c_str(), value.dump().c_str());
+  std::printf("%s\n", out.dump().c_str());
+}
+
 void Peers(const lemoncroft::measure::PeersPlan& plan, bool json) {
   const ordered_json out = lemoncroft::measure::MeasurePeers(plan);
   if (!json) {
@@ -111,16 +119,24 @@
   agreement->add_option("--states", rules.states, "that are searched")->capture_default_str();
   agreement->add_flag("--virtual", virtual_only, "no real processes");
   agreement->add_flag("--json", json, "the JSON object alone");
+  lemoncroft::measure::ScalePlan scale;
+  CLI::App* capacity = app.add_subcommand("scale", "what control costs a fleet of up to 4,000 proxies");
+  capacity->add_option("--seed", seed, "of all that is drawn")->capture_default_str();
+  capacity->add_option("--most", scale.most, "members of the largest fleet")->capture_default_str();
+  capacity->add_flag("--virtual", virtual_only, "no sockets");
+  capacity->add_flag("--json", json, "the JSON object alone");
   CLI11_PARSE(app, argc, argv);
   rules.seed = seed;
   rules.real = !virtual_only;
   rules.trial = plan.trial;
+  scale.seed = seed;
+  scale.sockets = !virtual_only;
   if (*agreement) {
-    const ordered_json out = lemoncroft::measure::MeasureAgreement(rules);
-    if (!json)
-      for (const auto& [name, value] : out.items())
-        std::printf("  %-28s %s\n", name.c_str(), value.dump().c_str());
-    std::printf("%s\n", out.dump().c_str());
+    Print(lemoncroft::measure::MeasureAgreement(rules), json);
+    return 0;
+  }
+  if (*capacity) {
+    Print(lemoncroft::measure::MeasureScale(scale), json);
     return 0;
   }
   plan.seed = seed;
--- a/src/measure/scale_leases.cpp
+++ b/src/measure/scale_leases.cpp
@@ -65,7 +65,7 @@
   setup.timed = true;
   KeeperFleet fleet(setup);
   fleet.links().usual().delay = plan.delay;
-  fleet.links().usual().spread = plan.delay;
+  fleet.links().usual().spread = plan.spread;
   LeaseCost cost;
   cost.began = RunUntilAllActOn(fleet, 0, kBeginPatience);
   const auto leader = fleet.Leader();
--- a/src/measure/scale_leases.h
+++ b/src/measure/scale_leases.h
@@ -18,7 +18,8 @@
   std::size_t members = 125, voters = 7;
   std::size_t changes = 5;
   std::size_t document_bytes = 1000;
-  std::chrono::nanoseconds delay = std::chrono::microseconds(200);  // of each link, and as much spread
+  std::chrono::nanoseconds delay = std::chrono::microseconds(200);   // of each link, one way,
+  std::chrono::nanoseconds spread = std::chrono::microseconds(300);  // and up to so much more
   double calm_seconds = 10;
 };
 
--- a/src/measure/scale_view.cpp
+++ b/src/measure/scale_view.cpp
@@ -8,6 +8,7 @@
 #include <string>
 #include <vector>
 
+#include "rules/tell_pace.h"
 #include "standin/peer_fleet.h"
 #include "standin/processor_time.h"
 
@@ -21,6 +22,7 @@
 
 constexpr std::size_t kSeeds = 3;
 constexpr double kSettlePatience = 60;  // seconds
+constexpr Instant kTellBeat = std::chrono::milliseconds(50);
 
 Instant Seconds(double seconds) { return Instant(static_cast<Instant::rep>(seconds * 1e9)); }
 
@@ -37,9 +39,9 @@
   return seeds;
 }
 
-peers::Settings SettingsOf(std::size_t members) {
+peers::Settings SettingsOf(const ViewPlan& plan) {
   peers::Settings settings;
-  settings.most = std::max(settings.most, 2 * members);
+  settings.most = std::max(settings.most, 2 * plan.members);
   return settings;
 }
 
@@ -138,6 +140,26 @@
           (after.exchanges - before.exchanges) / member_seconds};
 }
 
+// As cli::Rules does at each change: every proxy tells the version that it acts on, at its pace.
+void TellAttributes(PeerFleet& fleet, const ViewPlan& plan) {
+  const Instant begun = fleet.now(), until = begun + Seconds(plan.tell_seconds);
+  std::vector<rules::TellPace> paces;
+  for (Process p = 0; p < fleet.size(); ++p) paces.emplace_back(plan.seed + p);
+  std::vector<int> told(fleet.size(), 0);
+  while (fleet.now() < until) {
+    const Instant passed = fleet.now() - begun;
+    const int version = 1 + static_cast<int>(passed / Seconds(plan.told_every_seconds));
+    for (Process p = 0; p < fleet.size(); ++p) {
+      const bool changed = told[p] != version;
+      if (!changed || (plan.tell_pace && !paces[p].MayTell(rules::Time(passed), true, fleet.living())))
+        continue;
+      told[p] = version;
+      fleet.SetAttribute(p, "rules", std::to_string(version) + "/" + std::to_string(version));
+    }
+    fleet.RunFor(kTellBeat);
+  }
+}
+
 // Of the processes that live through it all.
 double BusiestBytes(const PeerFleet& fleet, const std::vector<std::uint64_t>& before) {
   std::uint64_t most = 0;
@@ -151,7 +173,7 @@
 ViewCost MeasureView(const ViewPlan& plan) {
   ViewCost cost;
   const double empty = BytesInUse();
-  auto fleet = std::make_unique<PeerFleet>(PeerFleet::Plan{plan.seed, SettingsOf(plan.members), 0.01});
+  auto fleet = std::make_unique<PeerFleet>(PeerFleet::Plan{plan.seed, SettingsOf(plan), 0.01});
   for (Node machine = 0; machine < plan.members; ++machine) fleet->Start(machine, NameOf(machine), Seeds());
   fleet->IntroduceProven();
   fleet->RunFor(Seconds(2));
@@ -165,6 +187,12 @@
   cost.datagram_bytes_per_s = calm.datagram_bytes;
   cost.messages_per_s = calm.messages;
 
+  if (plan.tell_seconds > 0) {
+    const Totals tell =
+        RatesDuring(*fleet, plan.members, cost.tell_core_percent, [&] { TellAttributes(*fleet, plan); });
+    cost.tell_bytes_per_s = tell.bytes;
+    fleet->SettleWithin(Seconds(kSettlePatience));
+  }
   if (plan.flux_seconds > 0) {
     Replacer replacer(*fleet, plan.members,
                       plan.replaced_per_minute * static_cast<double>(plan.members) / 60);
--- a/src/peerlink/link.cpp
+++ b/src/peerlink/link.cpp
@@ -243,6 +243,7 @@
 void Link::Post(const peers::Endpoint& to, Part part, std::string bytes) {
   std::string frame = Encode(fleet_, Parcel{view_.roster().self(), part, std::move(bytes)});
   ++figures_.parcels;
+  figures_.parcel_bytes += frame.size();
   if (frame.size() <= peers::kDatagramMost) {
     if (!datagrams_->Send(frame, ToAddress(to))) ++figures_.parcels_lost;
   } else if (parcels_out_ < kParcelsMost) {
@@ -300,6 +301,7 @@
     auto* parcel = good == nullptr ? nullptr : std::get_if<Parcel>(good);
     if (opening != nullptr) {
       const std::string answer = Encode(fleet_, view_.Answer(Now(), *opening));
+      figures_.exchange_bytes += answer.size();
       Pump();
       if (co_await WriteFrame(*socket, answer, deadline) && co_await ReadCounted(*socket, frame, deadline)) {
         const auto last = Read(frame, kStreamMost);
@@ -329,6 +331,7 @@
       co_await Connect(loop_, ToAddress(to), deadline, nullptr, socket, ToAddress(listen_)) == Io::kOk;
   if (open) {
     const std::string opening = Encode(fleet_, view_.Open(Now()));
+    figures_.exchange_bytes += opening.size();
     open = co_await WriteFrame(*socket, opening, deadline);
   }
   if (open) open = co_await ReadCounted(*socket, frame, deadline);
@@ -337,6 +340,7 @@
     const auto* good = std::get_if<Message>(&message);
     if (good != nullptr && std::holds_alternative<peers::Entries>(*good)) {
       const std::string closing = Encode(fleet_, view_.Close(Now(), std::get<peers::Entries>(*good)));
+      figures_.exchange_bytes += closing.size();
       Pump();
       done = co_await WriteFrame(*socket, closing, deadline);
       // Until the other has read it: what follows would else be an end with bytes unread.
--- a/src/peerlink/link.h
+++ b/src/peerlink/link.h
@@ -33,7 +33,9 @@
 struct Figures {
   std::uint64_t sent = 0, sent_bytes = 0, unsent = 0;  // datagrams
   std::uint64_t received = 0, exchanges = 0, exchanges_failed = 0;
+  std::uint64_t exchange_bytes = 0;             // sent in exchanges, at either side
   std::uint64_t parcels = 0, parcels_lost = 0;  // sent; of these, that couldn't be
+  std::uint64_t parcel_bytes = 0;
   std::array<std::uint64_t, kFaults> faults{};
 };
 
--- a/src/standin/peer_fleet.cpp
+++ b/src/standin/peer_fleet.cpp
@@ -110,6 +110,11 @@
   Carry(process);
 }
 
+void PeerFleet::SetAttribute(Process process, const std::string& key, const std::string& value) {
+  view(process).SetAttribute(Local(processes_[process], now_), key, value);
+  Carry(process);
+}
+
 void PeerFleet::Inject(Node machine, const std::string& bytes) {
   if (const auto it = tenants_.find(At(machine, false)); it != tenants_.end())
     Put(now_ + 1us, Kind::kDatagram, it->second, 0, bytes);
--- a/src/standin/peer_fleet.h
+++ b/src/standin/peer_fleet.h
@@ -55,6 +55,7 @@
   void Leave(Process process);  // says so, and ends a gossip beat later
   void Stall(Process process, Instant span);
   void Say(Process process, peers::Phase phase);
+  void SetAttribute(Process process, const std::string& key, const std::string& value);
   void RunTo(Instant until);
   void RunFor(Instant span) { RunTo(now_ + span); }
 
--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -6,11 +6,14 @@
 #include <map>
 #include <random>
 #include <string>
+#include <vector>
 
+#include "measure/hollow_fleet.h"
 #include "measure/scale_leases.h"
 #include "measure/scale_view.h"
 #include "peers/view.h"
 #include "rules/lease.h"
+#include "rules/tell_pace.h"
 #include "standin/processor_time.h"
 
 namespace lemoncroft {
@@ -201,6 +204,7 @@
   measure::ViewPlan plan;
   plan.members = 300;
   plan.calm_seconds = 10;
+  plan.tell_seconds = 0;
   plan.flux_warm_seconds = 5;
   const measure::ViewCost cost = measure::MeasureView(plan);
   EXPECT_LE(cost.bytes_per_s, 1000);
@@ -213,6 +217,37 @@
   EXPECT_EQ(again.settled_after_s, cost.settled_after_s);
 }
 
+// Each member tells of each change of the rules that it acts on it: not all of them at once.
+TEST(SmallScale, AChangeOfRulesIsNoNewsOfEachToEach) {
+  measure::ViewPlan plan;
+  plan.members = 300;
+  plan.calm_seconds = 1;
+  plan.flux_seconds = 0;
+  EXPECT_LE(measure::MeasureView(plan).tell_bytes_per_s, 5000);
+  plan.tell_pace = false;
+  EXPECT_GT(measure::MeasureView(plan).tell_bytes_per_s, kControlBytes) << "the pace bounds nothing";
+}
+
+TEST(TellPace, TellsTheNewestOnceAndSoon) {
+  rules::TellPace pace(1);
+  rules::Time now{1h};
+  EXPECT_FALSE(pace.MayTell(now, false, 7));
+  int told = 0;
+  for (int beat = 0; beat < 200; ++beat, now += 50ms) told += pace.MayTell(now, told == 0, 7);
+  EXPECT_EQ(told, 1) << "within ten seconds in a fleet of seven";
+}
+
+TEST(TellPace, AFleetTellsFourTimesASecondInTheMeanHoweverOftenChangesCome) {
+  constexpr std::size_t kMembers = 500;
+  std::vector<rules::TellPace> paces;
+  for (std::size_t i = 0; i < kMembers; ++i) paces.emplace_back(i);
+  rules::Time now{1h};
+  int told = 0;
+  for (const rules::Time until = now + 600s; now < until; now += 50ms)
+    for (rules::TellPace& pace : paces) told += pace.MayTell(now, true, kMembers);
+  EXPECT_NEAR(told / 600.0, 4, 0.8);
+}
+
 TEST(SmallScale, LeasesOfAFewHundredAreGrantedAndChangesComeIntoForce) {
   measure::LeasePlan plan;
   plan.members = 300;
@@ -226,5 +261,36 @@
   EXPECT_EQ(measure::MeasureLeases(plan).bytes_per_change, cost.bytes_per_change);
 }
 
+// ---- Hollow proxies on sockets: what the machine makes of a run is no verdict on the program ----
+
+measure::HollowPlan SomeHollow() {
+  measure::HollowPlan plan;
+  plan.members = 24;
+  plan.voters = 3;
+  plan.patience = 30s;
+  plan.calm = 2s;
+  plan.changes = 1;
+  return plan;
+}
+
+TEST(HollowFleet, SettlesOnSocketsAndPutsAChangeInForce) {
+  const measure::HollowCost cost = measure::RunHollowFleet(SomeHollow());
+  if (cost.is_void) GTEST_SKIP() << "void: the loop was late by " << cost.longest_lag_ms << " ms";
+  ASSERT_TRUE(cost.settled);
+  EXPECT_GT(cost.datagram_bytes_per_s, 300);
+  EXPECT_LE(cost.view_bytes_per_s, 1500);
+  ASSERT_EQ(cost.in_force_ms.size(), 1u);
+  EXPECT_LE(cost.in_force_ms[0], 6000);
+}
+
+TEST(HollowFleet, ARunThatWasHeldUpIsVoid) {
+  measure::HollowPlan plan = SomeHollow();
+  plan.held_for = 2 * measure::kLagMost;
+  plan.changes = 0;
+  const measure::HollowCost cost = measure::RunHollowFleet(plan);
+  ASSERT_TRUE(cost.settled);
+  EXPECT_TRUE(cost.is_void) << "the loop was late by " << cost.longest_lag_ms << " ms";
+}
+
 }  // namespace
 }  // namespace lemoncroft
