--- a/src/measure/hollow_fleet.cpp
+++ b/src/measure/hollow_fleet.cpp
@@ -107,6 +107,8 @@
   }
 
   void CarryOut() {
+    const peers::Roster& roster = view().roster();
+    if (std::exchange(peers_as_of_, roster.changes()) != roster.changes()) keeper_.SetPeers(roster.others());
     for (auto outputs = keeper_.Take(); !outputs.empty(); outputs = keeper_.Take())
       for (const rules::KeeperOutput& output : outputs) CarryOut(output);
     if (keeper_.due() < planned_) sooner_.Open();
@@ -137,6 +139,7 @@
   peerlink::Link link_;
   rules::Keeper keeper_;
   std::uint64_t store_;
+  std::uint64_t peers_as_of_ = 0;  // the roster's changes when the keeper was told its peers
   runtime::Gate sooner_;
   Time planned_ = runtime::kNever;
 };
