Wait for an engine that refuses connections as for a silent one, before another attempt

An engine that is short of connections refuses them and runs on. Ruled out: late second answers (no served answer was wrong), the key's rest (0.30 s were kept). Change: only an answer to DELETE or 2.1 s without being asked for end an exclusive attempt.

--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -82,7 +82,6 @@
   codec::HttpResponse response;
   Result result;
   bool lost = false;      // an answer about it has been lost: what the engine knows of it is in doubt
-  bool reset = false;     // a connection about it ended under it
   bool over = false;      // the engine has told its end
   runtime::Time asked{};  // when a call that keeps it running was last under way
 
@@ -158,7 +157,6 @@
       co_return Outcome::kOk;
     }
     if (io == Io::kOk || query.lease->sent_any()) {
-      query.reset = query.reset || io == Io::kClosed;
       query.asked = Now();
       if (io == Io::kCancelled) co_return Outcome::kCancelled;
       // It may run although its answer is spoilt, late or lost with its connection: the engine can be asked.
@@ -205,7 +203,6 @@
     const runtime::Span within = page == 0 ? kNewsWithin : kPageWithin * (tries + 1);
     const Io io = co_await query.lease->Call(ask, query.Limit(within), &query.cancel, query.response);
     query.asked = Now();
-    query.reset = query.reset || io == Io::kClosed;
     if (io == Io::kOk && Fits(*query.lease, query.response, page)) {
       TakeReport(query);
       co_return Outcome::kOk;
@@ -289,15 +286,15 @@
   co_await Call(engine, std::move(method), std::move(id), std::move(body));
 }
 
-// An engine that answers has taken the order. One whose connection broke and that refuses another has ended,
-// and its queries with it. Of one that says nothing only its own limit on unasked queries is known.
+// An engine that answers has taken the order. Of any other only its own limit on unasked queries is known:
+// one that breaks a connection and refuses the next may be short of connections and run on.
 Task<> Engines::Withdraw(Query& query) {
   query.lease = Lease();
   const runtime::Time over = query.asked + kUnaskedFor + kUnaskedMargin;
   runtime::Span pause = kWithdrawPauseLeast;
   while (Now() < over) {
     const Io io = co_await Call(query.attempt.engine, "DELETE", query.attempt.passed->id, {});
-    if (io == Io::kOk || (io == Io::kRefused && query.reset)) co_return;
+    if (io == Io::kOk) co_return;
     co_await loop_.SleepUntil(std::min(over, Now() + pause));
     pause = std::min<runtime::Span>(2 * pause, kWithdrawPauseMost);
   }
