Keep times over told work and times alone apart, whatever the settings say of costs

Cause: ClassEstimates::Time took the settings' word for whether costs are told, Learn the answers'. Change: the answers decide; the first told cost drops the pace learnt from times alone; an untold answer of a class that tells is set against its expected work. The test fails without it.

--- a/src/estimates/class_estimates.cpp
+++ b/src/estimates/class_estimates.cpp
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace lemoncroft::estimates {
 
@@ -27,9 +28,9 @@
   return estimate > 0 && works_learnt_ > 0 ? std::exp(Slope() * (std::log(estimate) - estimate_mean_)) : 1;
 }
 
-double ClassEstimates::Time(double work, bool tells_cost) const {
+double ClassEstimates::Time(double work) const {
   if (answers_ == 0) return work;
-  return recent_ * (tells_cost ? work : work / std::max(1e-6, mean_work_));
+  return recent_ * (told_ ? work : work / std::max(1e-6, mean_work_));
 }
 
 double ClassEstimates::BestTime(double work) const {
@@ -49,11 +50,12 @@
   if (answer.told_memory_mb > 0 && answer.estimated_memory_mb > 0)
     LearnMemory(answer.estimated_memory_mb, answer.told_memory_mb);
   if (answer.told_work > 0) {
-    told_ = true;
+    if (!std::exchange(told_, true)) ForgetPace();
     if (answer.estimated_work > 0) LearnWork(answer.estimated_work, answer.told_work);
     Blend(mean_work_, answer.told_work, std::max(kSlow, 1.0 / (answers_ + 2)));
     return LearnPace(answer.time / std::max(answer.told_work, 1e-3), answer.trial);
   }
+  if (told_) return LearnPace(answer.time / std::max(Work(answer.estimated_work), 1e-3), answer.trial);
   // Set against what the estimate made expect, times scatter less: what is left tells of the pace.
   const double ratio = LearnPace(answer.time / Relative(answer.estimated_work), answer.trial);
   mean_work_ = best_;
@@ -96,6 +98,13 @@
   covariance_ = std::clamp(covariance_, 0.2 * estimate_variance_, estimate_variance_);
 }
 
+// What was learnt of times alone is in another unit than times over work.
+void ClassEstimates::ForgetPace() {
+  recent_ = best_ = 0;
+  answers_ = 0;
+  works_learnt_ = 0;
+}
+
 double ClassEstimates::LearnPace(double sample, bool trial) {
   if (answers_ == 0) recent_ = told_ ? sample : mean_work_;
   // A hung one tells nothing of the pace; a mean of few is no best.
--- a/src/estimates/class_estimates.h
+++ b/src/estimates/class_estimates.h
@@ -35,7 +35,7 @@
   // Thread seconds that a query needs. Estimates lie by class and scatter: what past answers make of one.
   double Work(double estimate) const;
   // Thread seconds until the answer to a query of `work`, at the fleet's present pace.
-  double Time(double work, bool tells_cost) const;
+  double Time(double work) const;
   // The same at the best pace seen.
   double BestTime(double work) const;
   // Memory that a query will hardly exceed; 0 with no estimate.
@@ -56,6 +56,7 @@
   void LearnTime(double estimate, double time);
   void LearnRegression(double log_estimate, double log_work, double weight);
   double LearnPace(double sample, bool trial);
+  void ForgetPace();
   void LearnMemory(double estimate_mb, double told_mb);
 
   // Regression of the log of the true work on that of its estimate: means, variance, covariance. Where costs
@@ -63,7 +64,7 @@
   double estimate_mean_ = 0, true_mean_ = 0, estimate_variance_ = 0.5, covariance_ = 0.5;
   double deviation_;
   int works_learnt_ = 0;
-  bool told_ = false;     // costs are told
+  bool told_ = false;     // an answer has told its cost, whatever the settings say
   double usual_log_ = 0;  // where they aren't: recent mean of the log of the time, estimates allowed for
   double mean_work_;
   double recent_ = 0;  // recent mean of the time (over the work, where it is told)
--- a/src/gateway.cpp
+++ b/src/gateway.cpp
@@ -765,9 +765,7 @@
   // ---- Running ----
 
   // How long an attempt should take at the fleet's present pace.
-  double ExpectedSeconds(const Query& q) const {
-    return Estimates(q).Time(q.work, set_.tells_cost) / q.threads;
-  }
+  double ExpectedSeconds(const Query& q) const { return Estimates(q).Time(q.work) / q.threads; }
 
   Nanos RunawayAfter(const Query& q) {
     if (!set_.may_cancel || !MayRepeat(q) || (set_.progress_every > 0 && !Light(q))) return 0;
--- a/tests/class_estimates_test.cpp
+++ b/tests/class_estimates_test.cpp
@@ -12,7 +12,7 @@
   const ClassEstimates estimates(0.25, false);
   EXPECT_NEAR(estimates.Work(0), 0.25, 1e-9);
   EXPECT_NEAR(estimates.Work(0.4), 0.4, 1e-9);
-  EXPECT_NEAR(estimates.Time(0.4, true), 0.4, 1e-9);
+  EXPECT_NEAR(estimates.Time(0.4), 0.4, 1e-9);
   EXPECT_FALSE(estimates.known());
 }
 
@@ -23,7 +23,7 @@
     estimates.Learn({.estimated_work = 3 * work, .told_work = work, .time = 2 * work});
   }
   EXPECT_NEAR(estimates.Work(0.3), 0.1, 0.02);
-  EXPECT_NEAR(estimates.Time(0.1, true), 0.2, 0.01);  // twice its work, as all answers took
+  EXPECT_NEAR(estimates.Time(0.1), 0.2, 0.01);  // twice its work, as all answers took
   EXPECT_LT(estimates.deviation(), 0.1);
 }
 
@@ -72,7 +72,17 @@
   const double work = estimates.Work(0.6);
   LearnTimes(estimates, 70, 3);
   EXPECT_NEAR(estimates.Work(0.6), work, 0.15 * work);
-  EXPECT_NEAR(estimates.Time(work, false), 3 * work, 0.6 * work);
+  EXPECT_NEAR(estimates.Time(work), 3 * work, 0.6 * work);
+}
+
+// Times over told work and times alone are two units: a class that mixes them expects nonsense.
+TEST(ClassEstimates, CostsThatAFewAnswersTellAreNotMixedWithTimes) {
+  for (const bool settings_tell : {true, false}) {
+    ClassEstimates estimates(0.25, settings_tell);
+    for (int i = 0; i < 30; ++i) estimates.Learn({.time = 8});
+    for (int i = 0; i < 200; ++i) estimates.Learn({.told_work = i % 3 == 0 ? 4.0 : 0.0, .time = 8});
+    EXPECT_NEAR(estimates.Time(4), 8, 0.8) << settings_tell;
+  }
 }
 
 TEST(ClassEstimates, AnAnswerIsSetAgainstTheBestRecentMean) {
