--- a/src/measure/allocated_bytes.h
+++ b/src/measure/allocated_bytes.h
@@ -3,7 +3,10 @@
 #define LEMONCROFT_MEASURE_ALLOCATED_BYTES_H_
 
 #if defined(__SANITIZE_ADDRESS__)
-#include <sanitizer/allocator_interface.h>
+#include <cstddef>
+
+// Of the sanitizer's run-time library; GCC ships no header for it.
+extern "C" std::size_t __sanitizer_get_current_allocated_bytes();
 #else
 #include <malloc.h>
 #endif
