Play a hollow run that the machine held up again, and fail where three show nothing

Cause: HollowFleet.SettlesOnSocketsAndPutsAChangeInForce skipped itself when its run was void, so that a machine that is always busy would never have run it. Now a void run is played again, three times at most, and three void ones fail.

--- a/tests/capacity_test.cpp
+++ b/tests/capacity_test.cpp
@@ -274,8 +274,10 @@
 }
 
 TEST(HollowFleet, SettlesOnSocketsAndPutsAChangeInForce) {
-  const measure::HollowCost cost = measure::RunHollowFleet(SomeHollow());
-  if (cost.is_void) GTEST_SKIP() << "void: the loop was late by " << cost.longest_lag_ms << " ms";
+  constexpr int kRuns = 3;  // a run that the machine held up shows nothing, and is played again
+  measure::HollowCost cost = measure::RunHollowFleet(SomeHollow());
+  for (int run = 1; run < kRuns && cost.is_void; ++run) cost = measure::RunHollowFleet(SomeHollow());
+  ASSERT_FALSE(cost.is_void) << "nothing is shown: the loop was late by " << cost.longest_lag_ms << " ms";
   ASSERT_TRUE(cost.settled);
   EXPECT_GT(cost.datagram_bytes_per_s, 300);
   EXPECT_LE(cost.view_bytes_per_s, 1500);
