Look the settings up anew when an end asks for the longest deadline: a process crashed

Cause: `End` (src/cli/proxy.cpp) held a reference to the settings that were in force at SIGTERM, and read its classes 700 ms later. Ruled out: the worker of the store and the writer of the state file (both wait in the core); the view's new indexes; the pace of told versions, to which the same message had been put down before. Change: `End` is passed InForce and asks it when it needs the figure. The scenario reloads and ends a process so that the tidying falls into these 700 ms: under AddressSanitizer heap-use-after-free in `End` without the change, passes with it.

--- a/src/cli/proxy.cpp
+++ b/src/cli/proxy.cpp
@@ -257,7 +257,7 @@
 // Lets what was taken come to its end. Who comes meanwhile is another process's where that holds the
 // listening socket too.
 Task<> End(runtime::Loop& loop, frontend::FrameServer& server, broker::Broker& broker,
-           const settings::Site& site, bool shared, Fleet* fleet) {
+           const settings::InForce& site, bool shared, Fleet* fleet) {
   using Queue = frontend::FrameServer::Queue;
   const Time since = Now();
   spdlog::info("ending: {} requests open", broker.open());
@@ -270,7 +270,7 @@
   broker.Close();
   if (shared) {
     Nanos longest = 0;
-    for (const ClassSettings& c : site.module.classes) longest = std::max(longest, c.deadline);
+    for (const ClassSettings& c : site->module.classes) longest = std::max(longest, c.deadline);
     const Time last =
         since + kServeFor + std::min<runtime::Span>(broker::ToSpan(longest), kOutlives) - kLastAnswers;
     while (broker.open() > 0 && Now() < last) co_await loop.Sleep(kDrainBeat);
@@ -459,7 +459,7 @@
     }
     operations.set_phase(Operations::Phase::kEnding);
     if (rules != nullptr) rules->End();
-    co_await End(loop, server, broker, *site, shared, fleet.get());
+    co_await End(loop, server, broker, site, shared, fleet.get());
   };
   loop.Spawn(handle_signals());
   spdlog::info("{} listens on {}", config.name, config.listen_text);
