--- /dev/null
+++ b/src/standin/deciders.h
@@ -0,0 +1,36 @@
+// Who decides in the place of one gateway in a day that is played: the decision module, or a reference that
+// it is compared with.
+//
+// Contract. As the module's interface has it (lemoncroft/gateway.h): no I/O, no clock, deterministic for its
+// settings and seed. Errors: none.
+#ifndef LEMONCROFT_STANDIN_DECIDERS_H_
+#define LEMONCROFT_STANDIN_DECIDERS_H_
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <span>
+#include <vector>
+
+#include "lemoncroft/gateway.h"
+
+namespace lemoncroft::standin {
+
+// Who decides in the place of one gateway.
+class Decider {
+ public:
+  virtual ~Decider() = default;
+  virtual void Step(Nanos now, std::span<const Event> events, std::vector<Action>& actions) = 0;
+  virtual std::vector<EngineId> Avoided(Nanos now) const = 0;
+};
+using DeciderFactory = std::function<std::unique_ptr<Decider>(const Settings& settings, std::uint64_t seed)>;
+
+// The decision module.
+std::unique_ptr<Decider> MakeGateway(const Settings& settings, std::uint64_t seed);
+// A reference: sends each request once, at once, to a random engine that its placement allows, knows of
+// nothing but the list and the order of keys, and waits for the end.
+std::unique_ptr<Decider> MakeLeastLoadedForwarder(const Settings& settings, std::uint64_t seed);
+
+}  // namespace lemoncroft::standin
+
+#endif  // LEMONCROFT_STANDIN_DECIDERS_H_
--- a/src/standin/site_day.h
+++ b/src/standin/site_day.h
@@ -8,32 +8,15 @@
 
 #include <cstddef>
 #include <cstdint>
-#include <functional>
-#include <memory>
-#include <span>
 #include <string>
 #include <vector>
 
 #include "lemoncroft/gateway.h"
+#include "standin/deciders.h"
 #include "standin/site_shapes.h"
 
 namespace lemoncroft::standin {
 
-// Who decides in the place of one gateway.
-class Decider {
- public:
-  virtual ~Decider() = default;
-  virtual void Step(Nanos now, std::span<const Event> events, std::vector<Action>& actions) = 0;
-  virtual std::vector<EngineId> Avoided(Nanos now) const = 0;
-};
-using DeciderFactory = std::function<std::unique_ptr<Decider>(const Settings& settings, std::uint64_t seed)>;
-
-// The decision module.
-std::unique_ptr<Decider> MakeGateway(const Settings& settings, std::uint64_t seed);
-// A reference: sends each request once, at once, to a random engine that its placement allows, knows of
-// nothing but the list and the order of keys, and waits for the end.
-std::unique_ptr<Decider> MakeLeastLoadedForwarder(const Settings& settings, std::uint64_t seed);
-
 struct ClassResult {
   int taken = 0;
   int withdrawn = 0;
