--- a/src/cli/rules.cpp
+++ b/src/cli/rules.cpp
@@ -166,7 +166,8 @@
       directory_(directory),
       tell_(std::move(tell)),
       own_(std::move(own)),
-      keeper_(TermsOf(settings, name), fleet.view().roster().self(), ChecksOf(), Draw(), Now()) {
+      keeper_(TermsOf(settings, name), fleet.view().roster().self(), ChecksOf(), Draw(), Now()),
+      tell_pace_(Draw()) {
   const bool votes = std::find(settings.voters.begin(), settings.voters.end(), name) != settings.voters.end();
   if (votes && settings.store.empty())
     throw ConfigError("rules: " + name + " is one of the voters: it needs a `store`");
@@ -428,7 +429,7 @@
     const std::string shown = std::to_string(applied_) + "/" + std::to_string(keeper_.holder().prepared()) +
                               (cut_off ? "/cut-off" : "");
     const peers::Roster& roster = fleet_.view().roster();
-    if (shown != shown_) {
+    if (tell_pace_.MayTell(Now(), shown != shown_, roster.living())) {
       shown_ = shown;
       fleet_.link().SetAttribute(kRulesKey, shown);
     }
--- a/src/cli/rules.h
+++ b/src/cli/rules.h
@@ -23,6 +23,7 @@
 #include "operator/operator_file.h"
 #include "rules/document.h"
 #include "rules/keeper.h"
+#include "rules/tell_pace.h"
 #include "storage/worker.h"
 
 namespace lemoncroft::cli {
@@ -103,6 +104,7 @@
   membership::Directory::Tell tell_;
   Own own_;
   rules::Keeper keeper_;
+  rules::TellPace tell_pace_;
   std::uint64_t peers_as_of_ = 0;  // the roster's changes when the keeper was told its peers
   runtime::Gate sooner_, hands_changed_;
   runtime::Time planned_ = runtime::kNever;
