Join the two tests of who goes without credit on one player

Cause: 'Share.LoadsGoWithoutCreditOnlyWhereNoHeavyClassEarnsMore' repeated the set-up of the light classes' test line by line. Change: AttemptsWithoutCredit plays both; the checks are the same four.

--- a/tests/gateway_test.cpp
+++ b/tests/gateway_test.cpp
@@ -693,64 +693,47 @@
   EXPECT_LE(host.sends.size(), 8u) << "twenty engines run none of ours, but the share is of all gateways";
 }
 
+// Attempts of one query of a class, each of `time`, while the fleet is slow and a heavy class, which is worth
+// 12 for a second of one thread, has spent the credit of one gateway of a hundred.
+int AttemptsWithoutCredit(ClassSettings klass, Nanos time) {
+  Settings s = SomeSettings();
+  s.gateways = 100;
+  s.report_fields.clear();
+  s.classes = {klass, SomeClass(12)};
+  s.classes[0].deadline = s.classes[1].deadline = 60 * kSecond;
+  Host host(s);
+  std::vector<EngineEntry> fleet;
+  for (EngineId id = 1; id <= 20; ++id) fleet.push_back(Ready(id));
+  host.List(fleet);
+  RequestId id = 0;
+  const auto answered = [&](std::uint16_t of, Nanos takes, Nanos estimate) {
+    host.Step({Ask(++id, of, 50 * kSecond, estimate)});
+    host.RunUntil(host.now + takes);
+    if (host.Attempts(id) > 0) host.End(id, Outcome::kOk, takes);
+  };
+  for (int i = 0; i < 30; ++i) answered(0, time, time), answered(1, kSecond, kSecond);
+  for (int i = 0; i < 8; ++i) answered(1, 5 * kSecond, kSecond);  // slow now, ...
+  host.Step({Ask(500, 1, 50 * kSecond, 30 * kSecond)});           // ... and the credit is spent
+  host.Step({Ask(1000, 0, 50 * kSecond, time)});
+  return host.Attempts(1000);
+}
+
 // Boxoffice, calm+mass: light queries made half of the load, and each went out at once while the fleet was
 // slow; those of the heavy class, worth three times as much a thread second, were held behind them for 5 to
 // 11 s.
 TEST(Share, ALightClassGoesAheadWithoutCreditOnlyWhereItMakesMoreOfTheEnginesTime) {
-  const auto attempts_of_light = [](double worth) {
-    Settings s = SomeSettings();
-    s.gateways = 100;
-    s.report_fields.clear();
-    s.classes = {SomeClass(worth), SomeClass(12)};
-    s.classes[0].deadline = s.classes[1].deadline = 60 * kSecond;
-    Host host(s);
-    std::vector<EngineEntry> fleet;
-    for (EngineId id = 1; id <= 20; ++id) fleet.push_back(Ready(id));
-    host.List(fleet);
-    RequestId id = 0;
-    const auto answered = [&](std::uint16_t klass, Nanos time, Nanos estimate) {
-      host.Step({Ask(++id, klass, 50 * kSecond, estimate)});
-      host.RunUntil(host.now + time);
-      if (host.Attempts(id) > 0) host.End(id, Outcome::kOk, time);
-    };
-    for (int i = 0; i < 30; ++i) answered(0, 100 * kMs, 100 * kMs), answered(1, kSecond, kSecond);
-    for (int i = 0; i < 8; ++i) answered(1, 5 * kSecond, kSecond);  // slow now, ...
-    host.Step({Ask(500, 1, 50 * kSecond, 30 * kSecond)});           // ... and the credit is spent
-    host.Step({Ask(1000, 0, 50 * kSecond, 100 * kMs)});
-    return host.Attempts(1000);
-  };
-  EXPECT_EQ(attempts_of_light(2), 1);
-  EXPECT_EQ(attempts_of_light(1), 0) << "the heavy class earns a fifth more";
+  EXPECT_EQ(AttemptsWithoutCredit(SomeClass(2), 100 * kMs), 1);
+  EXPECT_EQ(AttemptsWithoutCredit(SomeClass(1), 100 * kMs), 0) << "the heavy class earns a fifth more";
 }
 
 // Kigali, retune+scrape: loads, which earned a third of what reports did in the engines' time, left without
 // credit and spent it for both; reports were held, and served 0.63 where loads were served 0.88.
 TEST(Share, LoadsGoWithoutCreditOnlyWhereNoHeavyClassEarnsMore) {
-  const auto attempts_of_load = [](double worth) {
-    Settings s = SomeSettings();
-    s.gateways = 100;
-    s.report_fields.clear();
-    s.classes = {SomeClass(worth), SomeClass(12)};
-    s.classes[0].holds_tables = true;
-    s.classes[0].deadline = s.classes[1].deadline = 60 * kSecond;
-    Host host(s);
-    std::vector<EngineEntry> fleet;
-    for (EngineId id = 1; id <= 20; ++id) fleet.push_back(Ready(id));
-    host.List(fleet);
-    RequestId id = 0;
-    const auto answered = [&](std::uint16_t klass, Nanos time) {
-      host.Step({Ask(++id, klass, 50 * kSecond, kSecond)});
-      host.RunUntil(host.now + time);
-      if (host.Attempts(id) > 0) host.End(id, Outcome::kOk, time);
-    };
-    for (int i = 0; i < 30; ++i) answered(0, kSecond), answered(1, kSecond);
-    for (int i = 0; i < 8; ++i) answered(1, 5 * kSecond);  // slow now, ...
-    host.Step({Ask(500, 1, 50 * kSecond, 30 * kSecond)});  // ... and the credit is spent
-    host.Step({Ask(1000, 0, 50 * kSecond, kSecond)});
-    return host.Attempts(1000);
-  };
-  EXPECT_EQ(attempts_of_load(13), 1);
-  EXPECT_EQ(attempts_of_load(4), 0);
+  ClassSettings load = SomeClass(13);
+  load.holds_tables = true;
+  EXPECT_EQ(AttemptsWithoutCredit(load, kSecond), 1);
+  load.worth = 4;
+  EXPECT_EQ(AttemptsWithoutCredit(load, kSecond), 0);
 }
 
 // The same incident: nearly all load is others', so a heavy query waits to be told of an engine's load.
