--- a/review/standin/database.cc
+++ b/review/standin/database.cc
@@ -48,8 +48,8 @@
   ::signal(SIGPIPE, SIG_IGN);
   record.Open(argv[4], std::atof(argv[5]), false);
   ClosingDatabase database(argv[1], std::atoi(argv[3]));
-  database.rows = 6;
-  database.run_ms = [](const Call&) { return 80.0; };
+  database.rows = 8;
+  database.run_ms = [](const Call&) { return 60.0; };
   database.StartOn(std::atoi(argv[2]));
   for (;;) ::pause();
 }
--- a/review/standin/rows.cc
+++ b/review/standin/rows.cc
@@ -10,7 +10,7 @@
   ::signal(SIGPIPE, SIG_IGN);
   const std::string folder = argv[1], tmp = argv[2], record_file = folder + "/record.txt";
   record.Open(record_file, NowMs(), true);
-  constexpr int kDatabases = 6, kRows = 6;
+  constexpr int kDatabases = 6, kRows = 8;
 
   std::vector<pid_t> databases;
   std::vector<int> progress, ports;
