Don't take a reset for the end of a result without a length

Cause: Socket::Read returned kClosed for the orderly end of the stream and for a failed connection alike; http::Connection then told the parser that the peer had closed, which completes such a body. The hypotheses were told apart by errno of recv at the cut (ECONNRESET, not 0) and by the page: it passes HasCompleteRows, because the cut lies behind a line feed. Bodies with a length or in chunks were never affected, since their parser knows what is missing.

Change: IoResult has kReset for a connection that failed, from reads and writes. A response is never complete then; the attempt polls for it, as for any lost response. The control feed and probes go through the same connection; clients' input takes both ends alike, as before.

--- a/src/frontend/client_connection_input.cpp
+++ b/src/frontend/client_connection_input.cpp
@@ -82,7 +82,7 @@
   for (std::size_t bytes = 0; !stop_discarding_.cancelled(); bytes += discarded.size()) {
     discarded.clear();
     const IoResult io = co_await socket_->Read(discarded, kReadBytes, runtime::kNever, &stop_discarding_);
-    peer_closed_ = io == IoResult::kClosed;
+    peer_closed_ = io == IoResult::kClosed || io == IoResult::kReset;
     if (io != IoResult::kOk) co_return;
     if (bytes < runtime::kMaxLingerBytes) {
       co_await context_.loop.NextTurn();
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -55,6 +55,7 @@
           has_begun ? std::min(complete_by, runtime::Now() + kStallTimeout) : begin_by;
       const IoResult io = co_await socket_->Read(received_, kMaxReadBytes, read_deadline, cancel);
       if (io == IoResult::kOk) continue;
+      if (io == IoResult::kReset) pending_ = keep_alive_ = false;
       if (io != IoResult::kClosed) co_return io;
       state = parser_.Finish();
     }
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -6,7 +6,8 @@
 // loop's thread.
 //
 // Errors are runtime::IoResult values. kClosed is also returned for a response that can't be parsed, after
-// which the connection is not reusable, and for a request whose head can't be written.
+// which the connection is not reusable, and for a request whose head can't be written. kReset: the connection
+// failed, so that no response is complete, not even one whose body ends with the connection.
 #ifndef LEMONCROFT_HTTP_CONNECTION_H_
 #define LEMONCROFT_HTTP_CONNECTION_H_
 
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -105,7 +105,7 @@
     if (n > 0) co_return IoResult::kOk;
     if (n == 0) co_return IoResult::kClosed;
     if (errno == EINTR) continue;
-    if (!WouldBlock(errno)) co_return IoResult::kClosed;
+    if (!WouldBlock(errno)) co_return IoResult::kReset;
     const WakeReason wake = co_await Waiter(loop_, &readiness_.readable, deadline, cancel);
     if (wake != WakeReason::kReady) co_return FromWake(wake);
   }
@@ -121,7 +121,7 @@
       continue;
     }
     if (errno == EINTR) continue;
-    if (!WouldBlock(errno)) co_return IoResult::kClosed;
+    if (!WouldBlock(errno)) co_return IoResult::kReset;
     const WakeReason wake = co_await Waiter(loop_, &readiness_.writable, deadline, cancel);
     if (wake != WakeReason::kReady) co_return FromWake(wake);
   }
--- a/tests/backend_test.cpp
+++ b/tests/backend_test.cpp
@@ -158,6 +158,12 @@
   EXPECT_EQ(counters_.attempts(), 0u);
 }
 
+// Makes the kernel reset the connection when it is closed, as for a process that dies.
+void SetResetOnClose(int fd) {
+  const linger option{1, 0};
+  EXPECT_EQ(::setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof option), 0);
+}
+
 // An engine on the same loop. `handler` receives the bytes of each call, and the connection to respond on.
 class FakeEngine {
  public:
@@ -188,7 +194,8 @@
       if (in.size() < head + 4 + body) continue;
       const std::string call = std::exchange(in, {});
       co_await handler_(call, *socket);
-      if (closes_connection) co_return;
+      if (resets_connection) SetResetOnClose(socket->fd());
+      if (closes_connection || resets_connection) co_return;
     }
   }
 
@@ -198,7 +205,8 @@
   int connections_ = 0;
 
  public:
-  bool closes_connection = false;  // after the current call
+  // After the current call, in order or with a reset.
+  bool closes_connection = false, resets_connection = false;
 };
 
 runtime::Task<> Write(runtime::Socket& socket, std::string text) {
@@ -243,6 +251,69 @@
   EXPECT_EQ(posts, static_cast<int>(response.size())) << "each statement is sent once";
 }
 
+// A page whose body ends with the connection is cut by a reset between two rows, where it looks complete.
+// Guards against results with missing rows that are reported as served.
+class CutResultTest : public EngineResponseTest, public testing::WithParamInterface<int> {
+ protected:
+  static constexpr int kPages = 2;
+  // The page without a length: its body ends with the connection.
+  static std::string UnsizedPage(int page, const std::string& rows) {
+    const std::string field = page == 0 ? "Chunks: " + std::to_string(kPages) : "Chunk: " + std::to_string(page);
+    return "HTTP/1.1 200 OK\r\nConnection: close\r\n" + field + "\r\n\r\n" + rows;
+  }
+  static int PageOf(const std::string& call) { return call.find("/1 HTTP") == std::string::npos ? 0 : 1; }
+  static std::string RowsOf(int page) {
+    const std::string name = std::to_string(page);
+    return name + "\t1\tz\n" + name + "\t2\tz\n";
+  }
+  static std::string FirstRowOf(int page) { return RowsOf(page).substr(0, RowsOf(page).size() / 2); }
+};
+
+TEST_P(CutResultTest, PageWithoutLength_ResetBetweenRows_IsFetchedAgain) {
+  const int cut_page = GetParam();
+  bool cut = false;
+  FakeEngine* self = nullptr;
+  FakeEngine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
+    const int page = PageOf(call);
+    const bool cuts_now = page == cut_page && !cut;
+    cut = cut || cuts_now;
+    self->closes_connection = true;
+    self->resets_connection = cuts_now;
+    const std::string rows = cuts_now ? FirstRowOf(page) : RowsOf(page);
+    co_await Write(socket, UnsizedPage(page, rows));
+    if (cuts_now) co_await loop_.Sleep(20ms);  // the rows arrive before the reset
+  });
+  self = &engine;
+  ListEngine(engine.host_port());
+  RunToEnd(MakeAttempt());
+  EXPECT_TRUE(cut);
+  EXPECT_EQ(result_.outcome, Outcome::kOk);
+  EXPECT_EQ(result_.rows, RowsOf(0) + RowsOf(1));
+}
+
+// The process dies while it writes the page: no call is answered afterwards.
+TEST_P(CutResultTest, PageWithoutLength_EngineDiesBetweenRows_IsNotServed) {
+  const int cut_page = GetParam();
+  bool dead = false;
+  FakeEngine* self = nullptr;
+  FakeEngine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
+    const int page = PageOf(call);
+    self->resets_connection = dead || page == cut_page;
+    self->closes_connection = true;
+    if (dead) co_return;
+    dead = page == cut_page;
+    const std::string rows = dead ? FirstRowOf(page) : RowsOf(page);
+    co_await Write(socket, UnsizedPage(page, rows));
+    if (dead) co_await loop_.Sleep(20ms);
+  });
+  self = &engine;
+  ListEngine(engine.host_port());
+  RunToEnd(MakeAttempt());
+  EXPECT_TRUE(dead);
+  EXPECT_NE(result_.outcome, Outcome::kOk) << result_.rows;
+}
+INSTANTIATE_TEST_SUITE_P(EachPage, CutResultTest, testing::Values(0, 1));
+
 // The engine sends a response that is never complete. With the parameter true it sends one byte at a time,
 // each before the stall timeout; with false it sends an endless body at a high rate.
 class EndlessResponseTest : public EngineResponseTest, public testing::WithParamInterface<bool> {};
