Ask again for a result without a length before it is served

Callers saw: the same missing rows where the kernel of a killed engine closes its connections in order. Linux resets a killed process's connection only if input was unread or a lingering close was asked for; otherwise it sends a FIN, and a reset comes at the next byte from here. No reader of the socket can tell that FIN from the end of a whole body.

Cause: a body that ends with the connection was taken for whole at its end, though the engine might have exited while it wrote.

Change: HttpResponse::ended_by_close; once all pages are there, an engine that sent one without a length is polled for page 0 once more (it gives that answer again). One that exited refuses the connection or doesn't know the query, and the attempt ends as lost or reset. Results with a length or in chunks cost nothing.

--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -249,14 +249,24 @@
   result.work = WorkOf(query.response);
   result.memory_mb = PeakMemoryMbOf(query.response);
   result.rows = std::move(query.response.body);
+  bool ended_by_close = query.response.ended_by_close;
   for (int page = 1; page < page_count; ++page) {
     const Outcome polled = co_await Poll(query, page);
     if (polled != Outcome::kOk) co_return polled;
     if (!HasPage(query.response)) co_return query.lost_response ? Outcome::kLost : Outcome::kError;
     result.rows += query.response.body;
+    ended_by_close = ended_by_close || query.response.ended_by_close;
     if (result.rows.size() > kMaxResultBytes) co_return Outcome::kError;
   }
-  co_return Outcome::kOk;
+  if (!ended_by_close) co_return Outcome::kOk;
+  co_return co_await ConfirmResult(query);
+}
+
+// An engine that exits loses its results, and one that takes over its address doesn't know the query.
+Task<Outcome> Engines::ConfirmResult(Query& query) {
+  const Outcome polled = co_await Poll(query, 0);
+  if (polled != Outcome::kOk) co_return polled;
+  co_return HasPage(query.response) ? Outcome::kOk : Outcome::kLost;
 }
 
 Task<> Engines::DiscardResponse(PooledConnection connection) {
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -69,6 +69,9 @@
   // Polls until the query is done. kOk: the response contains the first page.
   runtime::Task<Outcome> AwaitCompletion(Query& query);
   runtime::Task<Outcome> FetchPages(Query& query);
+  // Asks an engine that delimited a page by the end of its connection whether it still has the result. kOk:
+  // it has, so that it didn't exit while it wrote a page.
+  runtime::Task<Outcome> ConfirmResult(Query& query);
 
   // Polls for a page, or for the status (page 0), until a valid response arrives. kOk: it has arrived.
   runtime::Task<Outcome> Poll(Query& query, int page);
--- a/src/codec/http.cpp
+++ b/src/codec/http.cpp
@@ -81,7 +81,10 @@
 }
 
 HttpParser::State HttpParser::Finish() {
-  if (phase_ == Phase::kBodyUntilClose) phase_ = Phase::kDone;
+  if (phase_ == Phase::kBodyUntilClose) {
+    response_.ended_by_close = true;
+    phase_ = Phase::kDone;
+  }
   return phase_ == Phase::kDone ? State::kDone : State::kBad;
 }
 
--- a/src/codec/http.h
+++ b/src/codec/http.h
@@ -31,6 +31,8 @@
   std::vector<std::pair<std::string, std::string>> headers;
   std::string body;
   bool keep_alive = true;
+  // The end of the connection delimited the body. It looks the same if the sender exited while it wrote.
+  bool ended_by_close = false;
 
   // Returns the value of the first header called `name`, or null. Names are compared case-insensitively.
   const std::string* Find(std::string_view name) const;
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -46,8 +46,8 @@
   Socket(const Socket&) = delete;
   Socket& operator=(const Socket&) = delete;
 
-  // Waits for input and appends it to `into`: at most `max_bytes` and 16 KB. kClosed is the end of the stream:
-  // all that the peer sent has been read. kReset: the peer may have sent, or meant to send, more.
+  // Waits for input and appends it to `into`: at most `max_bytes` and 16 KB. kClosed is the end of the
+  // stream: all that the peer sent has been read. kReset: the peer may have sent, or meant to send, more.
   Task<IoResult> Read(std::string& into, std::size_t max_bytes, Time deadline,
                       Cancellation* cancel = nullptr);
   // Writes all of `bytes`, which must outlive the task. `written` is the number of bytes that the kernel
--- a/tests/backend_test.cpp
+++ b/tests/backend_test.cpp
@@ -255,10 +255,32 @@
 // Guards against results with missing rows that are reported as served.
 class CutResultTest : public EngineResponseTest, public testing::WithParamInterface<int> {
  protected:
+  enum class EndOfProcess { kResets, kCloses };
+
+  // Runs an attempt at an engine that exits while it writes the last page, and at `end` ends its connections.
+  void RunAtEngineThatExits(int last_page, EndOfProcess end) {
+    bool exited = false;
+    FakeEngine* self = nullptr;
+    FakeEngine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
+      const int page = PageOf(call);
+      self->resets_connection = exited || (page == last_page && end == EndOfProcess::kResets);
+      self->closes_connection = true;
+      if (exited) co_return;
+      exited = page == last_page;
+      const std::string rows = exited ? FirstRowOf(page) : RowsOf(page);
+      co_await Write(socket, UnsizedPage(page, rows));
+      if (exited) co_await loop_.Sleep(20ms);  // the rows arrive before the end
+    });
+    self = &engine;
+    ListEngine(engine.host_port());
+    RunToEnd(MakeAttempt());
+    EXPECT_TRUE(exited);
+  }
   static constexpr int kPages = 2;
   // The page without a length: its body ends with the connection.
   static std::string UnsizedPage(int page, const std::string& rows) {
-    const std::string field = page == 0 ? "Chunks: " + std::to_string(kPages) : "Chunk: " + std::to_string(page);
+    const std::string field =
+        page == 0 ? "Chunks: " + std::to_string(kPages) : "Chunk: " + std::to_string(page);
     return "HTTP/1.1 200 OK\r\nConnection: close\r\n" + field + "\r\n\r\n" + rows;
   }
   static int PageOf(const std::string& call) { return call.find("/1 HTTP") == std::string::npos ? 0 : 1; }
@@ -291,25 +313,14 @@
   EXPECT_EQ(result_.rows, RowsOf(0) + RowsOf(1));
 }
 
-// The process dies while it writes the page: no call is answered afterwards.
-TEST_P(CutResultTest, PageWithoutLength_EngineDiesBetweenRows_IsNotServed) {
-  const int cut_page = GetParam();
-  bool dead = false;
-  FakeEngine* self = nullptr;
-  FakeEngine engine(loop_, [&](const std::string& call, runtime::Socket& socket) -> runtime::Task<> {
-    const int page = PageOf(call);
-    self->resets_connection = dead || page == cut_page;
-    self->closes_connection = true;
-    if (dead) co_return;
-    dead = page == cut_page;
-    const std::string rows = dead ? FirstRowOf(page) : RowsOf(page);
-    co_await Write(socket, UnsizedPage(page, rows));
-    if (dead) co_await loop_.Sleep(20ms);
-  });
-  self = &engine;
-  ListEngine(engine.host_port());
-  RunToEnd(MakeAttempt());
-  EXPECT_TRUE(dead);
+TEST_P(CutResultTest, PageWithoutLength_EngineExitsWithReset_IsNotServed) {
+  RunAtEngineThatExits(GetParam(), EndOfProcess::kResets);
+  EXPECT_NE(result_.outcome, Outcome::kOk) << result_.rows;
+}
+
+// The kernel of a killed process closes its connections in order where it has read all input.
+TEST_P(CutResultTest, PageWithoutLength_EngineExitsWithoutReset_IsNotServed) {
+  RunAtEngineThatExits(GetParam(), EndOfProcess::kCloses);
   EXPECT_NE(result_.outcome, Outcome::kOk) << result_.rows;
 }
 INSTANTIATE_TEST_SUITE_P(EachPage, CutResultTest, testing::Values(0, 1));
