Confirm a result without a length by the head of the answer alone

Cause: the confirmation waited for the whole page, though its status is all that it needs: an engine that still knows the result hasn't exited.

Change: http::Connection::CallForHead; Poll takes the part of the response that it waits for. The connection is closed behind the head.

--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -181,8 +181,15 @@
   if (report.count > 0) query.result.load = report;
 }
 
-Task<Outcome> Engines::Poll(Query& query, int page) {
+Task<IoResult> Engines::CallForPage(Query& query, int page, ResponsePart part, runtime::Time deadline) {
   const codec::HttpRequest call = MakePollCall(query.request_id(), page);
+  http::Connection& connection = *query.connection;
+  if (part == ResponsePart::kHead)
+    co_return co_await connection.CallForHead(call, deadline, &query.cancel, query.response);
+  co_return co_await connection.Call(call, deadline, &query.cancel, query.response);
+}
+
+Task<Outcome> Engines::Poll(Query& query, int page, ResponsePart part) {
   bool engine_reacted = false;
   Outcome outcome = Outcome::kLost;
   for (int poll = 1; poll <= kMaxPolls; ++poll) {
@@ -195,10 +202,10 @@
       if (connected == IoResult::kClosed) continue;
     }
     const runtime::Duration timeout = page == 0 ? kStatusTimeout : kPageTimeout * poll;
-    const IoResult called =
-        co_await query.connection->Call(call, query.DeadlineAfter(timeout), &query.cancel, query.response);
+    const IoResult called = co_await CallForPage(query, page, part, query.DeadlineAfter(timeout));
     query.last_call_time = Now();
-    if (called == IoResult::kOk && query.HasValidResponse(page)) {
+    const bool complete = called == IoResult::kOk;
+    if (complete && (part == ResponsePart::kHead || query.HasValidResponse(page))) {
       StoreLoadReport(query);
       co_return Outcome::kOk;
     }
@@ -262,9 +269,10 @@
   co_return co_await ConfirmResult(query);
 }
 
-// An engine that exits loses its results, and one that takes over its address doesn't know the query.
+// An engine that exits loses its results, and one that takes over its address doesn't know the query. The
+// head of the response tells that; an engine may take long to write the body once more.
 Task<Outcome> Engines::ConfirmResult(Query& query) {
-  const Outcome polled = co_await Poll(query, 0);
+  const Outcome polled = co_await Poll(query, 0, ResponsePart::kHead);
   if (polled != Outcome::kOk) co_return polled;
   co_return HasPage(query.response) ? Outcome::kOk : Outcome::kLost;
 }
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -73,8 +73,13 @@
   // it has, so that it didn't exit while it wrote a page.
   runtime::Task<Outcome> ConfirmResult(Query& query);
 
+  // The part of a response that a poll waits for.
+  enum class ResponsePart { kHead, kWhole };
   // Polls for a page, or for the status (page 0), until a valid response arrives. kOk: it has arrived.
-  runtime::Task<Outcome> Poll(Query& query, int page);
+  runtime::Task<Outcome> Poll(Query& query, int page, ResponsePart part = ResponsePart::kWhole);
+  // Makes one such call on the query's connection.
+  runtime::Task<runtime::IoResult> CallForPage(Query& query, int page, ResponsePart part,
+                                               runtime::Time deadline);
   // Acquires another connection for the query.
   runtime::Task<runtime::IoResult> Reconnect(Query& query);
   // Cancels the query of an attempt that ended with `outcome`, if it may still be running.
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -47,8 +47,25 @@
 
 runtime::Task<IoResult> Connection::Receive(runtime::Time begin_by, runtime::Time complete_by,
                                             runtime::Cancellation* cancel, codec::HttpResponse& out) {
+  co_return co_await ReceiveUntil(Until::kEnd, begin_by, complete_by, cancel, out);
+}
+
+runtime::Task<IoResult> Connection::CallForHead(const codec::HttpRequest& request, runtime::Time deadline,
+                                                runtime::Cancellation* cancel, codec::HttpResponse& out) {
+  const IoResult sent = co_await Send(request, deadline, cancel);
+  if (sent != IoResult::kOk) co_return sent;
+  const IoResult received = co_await ReceiveUntil(Until::kHead, deadline, deadline, cancel, out);
+  keep_alive_ = false;
+  co_return received;
+}
+
+runtime::Task<IoResult> Connection::ReceiveUntil(Until until, runtime::Time begin_by,
+                                                 runtime::Time complete_by, runtime::Cancellation* cancel,
+                                                 codec::HttpResponse& out) {
   for (;;) {
     codec::HttpParser::State state = parser_.Feed(received_);
+    const bool has_head = state == codec::HttpParser::State::kNeedMore && parser_.head_parsed();
+    if (until == Until::kHead && has_head) state = codec::HttpParser::State::kDone;
     if (state == codec::HttpParser::State::kNeedMore) {
       const bool has_begun = !received_.empty() || parser_.head_parsed();
       const runtime::Time read_deadline =
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -41,6 +41,11 @@
   runtime::Task<runtime::IoResult> Call(const codec::HttpRequest& request, runtime::Time deadline,
                                         runtime::Cancellation* cancel, codec::HttpResponse& out);
 
+  // Sends a request and receives the head of its response, without the body. The connection is not reusable
+  // afterwards.
+  runtime::Task<runtime::IoResult> CallForHead(const codec::HttpRequest& request, runtime::Time deadline,
+                                               runtime::Cancellation* cancel, codec::HttpResponse& out);
+
   // Returns true while a response is pending.
   bool pending() const { return pending_; }
   // Returns true if the last Send passed any byte to the kernel.
@@ -52,6 +57,11 @@
   bool Reusable() const { return !pending_ && keep_alive_ && received_.empty() && socket_->IsIdle(); }
 
  private:
+  enum class Until { kHead, kEnd };
+  runtime::Task<runtime::IoResult> ReceiveUntil(Until until, runtime::Time begin_by,
+                                                runtime::Time complete_by, runtime::Cancellation* cancel,
+                                                codec::HttpResponse& out);
+
   std::unique_ptr<runtime::Socket> socket_;
   std::string host_;
   codec::HttpParser::Limits limits_;
--- a/tests/backend_test.cpp
+++ b/tests/backend_test.cpp
@@ -323,6 +323,25 @@
   RunAtEngineThatExits(GetParam(), EndOfProcess::kCloses);
   EXPECT_NE(result_.outcome, Outcome::kOk) << result_.rows;
 }
+// The engine takes long to write the result once more: its head is enough to know that the engine has it.
+TEST_F(EngineResponseTest, PageWithoutLength_ConfirmedSlowly_IsServedAtHeadOfConfirmation) {
+  const std::string page = "HTTP/1.1 200 OK\r\nChunks: 1\r\n\r\n";
+  int calls = 0;
+  FakeEngine engine(loop_, [&](const std::string&, runtime::Socket& socket) -> runtime::Task<> {
+    const bool confirms = ++calls > 1;
+    co_await Write(socket, page);
+    if (confirms) co_await loop_.Sleep(500ms);
+    co_await Write(socket, "x\ty\tz\n");
+  });
+  engine.closes_connection = true;
+  ListEngine(engine.host_port());
+  const runtime::Time from = Now();
+  RunToEnd(MakeAttempt());
+  EXPECT_EQ(result_.outcome, Outcome::kOk);
+  EXPECT_EQ(result_.rows, "x\ty\tz\n");
+  EXPECT_EQ(calls, 2);
+  EXPECT_LT(Now() - from, 150ms) << "the stall timeout";
+}
 INSTANTIATE_TEST_SUITE_P(EachPage, CutResultTest, testing::Values(0, 1));
 
 // The engine sends a response that is never complete. With the parameter true it sends one byte at a time,
