Keep the order of a key over a hot restart

Cause: the queues of ordering keys are the state of one process. What two processes of a proxy share were limits, budgets and ejections; nothing told the successor which keys its predecessor still runs, nor the other way round, since both take requests while the old one drains.

Change: a request with a key draws a ticket on arrival and publishes it, by its key's bucket, in $TMPDIR/lemoncroft-order-1 (mapped; a locked slot for each process). The module holds a request (Request::held, RequestReleased) while another process has an unfinished one with a lower ticket; pauses of a key count as unfinished. A process that dies leaves its words: what it never sent is free at once, a paused key after the pause, a sent attempt after the 2.1 s in which its engine abandons it and the pause.

Rejected: waiting until the predecessor has ended (a key idle there would wait up to 5.7 s), and times in place of tickets (two processes that read late disagree).

--- a/include/lemoncroft/gateway.h
+++ b/include/lemoncroft/gateway.h
@@ -45,13 +45,21 @@
   std::uint16_t class_id = 0;
   std::uint16_t tenant = 0;        // kNoTenant on a site without tenants
   std::uint64_t ordering_key = 0;  // 0 = none
-  Nanos client_timeout = 0;        // time until the client stops waiting
-  Nanos estimated_work = 0;        // 0 = no estimate
+  // Another process of this gateway has an unfinished request with the ordering key that arrived earlier. The
+  // request isn't sent before RequestReleased. Without effect where the class keeps no order.
+  bool held = false;
+  Nanos client_timeout = 0;  // time until the client stops waiting
+  Nanos estimated_work = 0;  // 0 = no estimate
   double estimated_memory_mb = 0;
   std::uint32_t table_group = 0;  // the table group that the request reads or loads
   bool is_repeat = false;         // marked by the client; not used for decisions
 };
 
+// A request that was held may run, after the earlier requests of its ordering key in this process.
+struct RequestReleased {
+  RequestId id = 0;
+};
+
 // The outcome of an attempt. The host posts exactly one for each Send.
 struct AttemptEnded {
   RequestId id = 0;
@@ -142,8 +150,8 @@
 struct Shutdown {};
 
 using Event = std::variant<SettingsChanged, ProcessCount, FleetSize, Shutdown, EngineList, Request,
-                           AttemptEnded, StreamStarted, RequestCancelled, DeadlineReached, ProgressNotice,
-                           ProbeEnded, PeerMessage, TimerFired>;
+                           RequestReleased, AttemptEnded, StreamStarted, RequestCancelled, DeadlineReached,
+                           ProgressNotice, ProbeEnded, PeerMessage, TimerFired>;
 
 // ---- Actions: what the host does, in the given order, at the time of the step ----
 
--- a/src/backend/engine_protocol.h
+++ b/src/backend/engine_protocol.h
@@ -5,6 +5,7 @@
 #ifndef LEMONCROFT_BACKEND_ENGINE_PROTOCOL_H_
 #define LEMONCROFT_BACKEND_ENGINE_PROTOCOL_H_
 
+#include <chrono>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -16,6 +17,9 @@
 
 namespace lemoncroft::backend {
 
+// An engine abandons a query that has not been polled for this long. The margin covers calls in flight.
+inline constexpr std::chrono::milliseconds kEngineAbandonTimeout{2000}, kEngineAbandonMargin{100};
+
 // ---- Calls ----
 
 // Makes the call that submits the statement of an attempt. The call refers to the attempt's forwarded fields,
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -25,8 +25,6 @@
 // Delay between the refusal by the lease and the end of the attempt, because the decision module may retry
 // immediately.
 constexpr auto kLeaseRefusalDelay = 10ms;
-// An engine abandons a query that has not been polled for this long. The margin covers calls in flight.
-constexpr auto kEngineAbandonTimeout = 2000ms, kEngineAbandonMargin = 100ms;
 constexpr auto kMinCancelBackoff = 50ms, kMaxCancelBackoff = 400ms;
 constexpr auto kLateResponseTimeout = 400ms;  // for a response that is discarded
 constexpr std::size_t kMaxResultBytes = 64 * 1024;
--- a/src/broker/active_request.h
+++ b/src/broker/active_request.h
@@ -61,6 +61,8 @@
   std::unique_ptr<request::ResponseSink> sink;  // null once the request is complete
   ResourceGrant grant;                          // applies to further attempts
   std::vector<std::unique_ptr<AttemptRecord>> attempts;
+  // The end of the pause of its ordering key, after an attempt of unknown outcome.
+  runtime::Time ordering_key_paused_until{};
   bool deadline_reported = false;  // DeadlineReached was posted to the decision module
   std::deque<RequestEvent> inbox;
   runtime::ConditionVariable inbox_filled;
--- a/src/broker/attempts.cpp
+++ b/src/broker/attempts.cpp
@@ -22,6 +22,11 @@
   return outcome != Outcome::kFull && outcome != Outcome::kConnectFailed && outcome != Outcome::kNotSent;
 }
 
+// Returns true if an engine may still be running an attempt with this outcome.
+bool MayStillRun(Outcome outcome) {
+  return MayHaveRun(outcome) && outcome != Outcome::kOk && outcome != Outcome::kError;
+}
+
 std::int64_t Milliseconds(Nanos nanos) { return nanos / 1'000'000; }
 
 void LogAttemptEnded(const ActiveRequest& request, const AttemptRecord& attempt, const AttemptEnded& event) {
@@ -51,6 +56,7 @@
   attempt.priority = request->grant.priority;
   attempt.exclusive = !site_->module.may_hedge || request->client_request.ordering_key != 0;
   attempt.may_have_run = may_have_run;
+  if (ordering_key_turns_ != nullptr) ordering_key_turns_->OnSent(request->id);
   loop_.Spawn(RunAttempt(request, number, attempt));
 }
 
@@ -93,8 +99,7 @@
   ReportAttemptEnded(request, finished, progress);
 }
 
-void Broker::ReportAttemptEnded(const ActiveRequest& request, const AttemptFinished& finished,
-                                Progress progress) {
+void Broker::ReportAttemptEnded(ActiveRequest& request, const AttemptFinished& finished, Progress progress) {
   const AttemptRecord& record = request.attempt(finished.attempt);
   const backend::Result& result = finished.result;
   AttemptEnded event;
@@ -108,6 +113,7 @@
   event.memory_mb = result.memory_mb;
   event.load_report = result.load;
   LogAttemptEnded(request, record, event);
+  if (MayStillRun(result.outcome)) PauseOrderingKey(request);
   module_host_.Post(event);
   if (queue_) queue_->OnAttemptEnded(request.id, finished.attempt, result.work, MayHaveRun(result.outcome));
 }
--- a/src/broker/broker.cpp
+++ b/src/broker/broker.cpp
@@ -31,6 +31,7 @@
 void Broker::Start() {
   loop_.Spawn(module_host_.Run());
   if (queue_) loop_.Spawn(queue_->Run());
+  if (ordering_key_turns_ != nullptr) loop_.Spawn(WatchOrderingKeys());
 }
 
 void Broker::UpdateEndpoints(EngineList list) {
@@ -42,6 +43,8 @@
   limits_.max_requests = max_requests;
   const auto site = site_.snapshot();
   if (queue_) queue_->set_kinds(site->module.kinds);
+  if (ordering_key_turns_ != nullptr)
+    ordering_key_turns_->set_pause(decision::ToDuration(site->module.ordering_key_pause));
   module_host_.ApplySettings({std::shared_ptr<const Settings>(site, &site->module), std::move(former_class)});
 }
 
--- a/src/broker/broker.h
+++ b/src/broker/broker.h
@@ -11,7 +11,7 @@
 // loop's thread.
 //
 // The implementation is in broker.cpp (settings, endpoint list, dispatch of decisions), submission.cpp,
-// request_lifecycle.cpp and attempts.cpp.
+// request_lifecycle.cpp, ordering_keys.cpp and attempts.cpp.
 #ifndef LEMONCROFT_BROKER_BROKER_H_
 #define LEMONCROFT_BROKER_BROKER_H_
 
@@ -27,6 +27,7 @@
 #include "broker/active_request.h"
 #include "broker/admission_queue_host.h"
 #include "broker/module_host.h"
+#include "hot_restart/ordering_key_turns.h"
 #include "lemoncroft/gateway.h"
 #include "metrics/counters.h"
 #include "request/client_request.h"
@@ -59,6 +60,9 @@
     lease_fence_ = lease_fence;
     engines_.set_lease_fence(lease_fence);
   }
+  // Shares the order of ordering keys with the other processes of this proxy. Must be called before Start.
+  // Null: there are none.
+  void set_ordering_key_turns(hot_restart::OrderingKeyTurns* turns) { ordering_key_turns_ = turns; }
   // Starts the decision module and the admission queue on the loop.
   void Start();
 
@@ -107,8 +111,20 @@
                                                  request::ResponseSink& sink);
   runtime::Duration MaxRetryAfter() const;
 
+  // Ordering keys that other processes of this proxy may use too (ordering_keys.cpp).
+
+  void RegisterOrderingKey(const ActiveRequest& request);
+  // Returns true if the request, which is about to be passed to the decision module, must be held because
+  // another process has an earlier request of its key. WatchOrderingKeys releases it.
+  bool MustHoldForOrderingKey(const ActiveRequest& request);
+  void PauseOrderingKey(ActiveRequest& request) const;
+  void FinishOrderingKey(const ActiveRequest& request);
+  // Releases held requests when they have their turn, until the loop stops.
+  runtime::Task<> WatchOrderingKeys();
+
   // The coroutine of a request (request_lifecycle.cpp).
 
+  void PassToModule(const ActiveRequest& request);
   runtime::Task<> RunRequest(ActiveRequestPtr request);
   // Reacts to events until the request is complete.
   runtime::Task<> RunUntilCompleted(const ActiveRequestPtr& request);
@@ -145,7 +161,7 @@
   bool MustRejectForLease(const ActiveRequest& request, const Send& send) const;
   // Reports an attempt that the decision module requested and that is not made.
   void ReportNotSent(ActiveRequest& request, const Send& send, Progress progress);
-  void ReportAttemptEnded(const ActiveRequest& request, const AttemptFinished& finished, Progress progress);
+  void ReportAttemptEnded(ActiveRequest& request, const AttemptFinished& finished, Progress progress);
   // Applies a grant to further attempts, and its priority also to running ones.
   void ApplyGrant(ActiveRequest& request, const ResourceGrant& grant);
 
@@ -170,6 +186,8 @@
   std::size_t open_bytes_ = 0;  // total size of the forwarded fields of the open requests
   bool rejects_new_requests_ = false;
   request::LeaseFence* lease_fence_ = nullptr;
+  hot_restart::OrderingKeyTurns* ordering_key_turns_ = nullptr;
+  runtime::ConditionVariable ordering_keys_busy_;
 };
 
 }  // namespace lemoncroft::broker
--- a/src/broker/request_lifecycle.cpp
+++ b/src/broker/request_lifecycle.cpp
@@ -51,14 +51,21 @@
 
 void Broker::CancelRequest(RequestId id) { Deliver(id, CancelledByClient{}); }
 
+void Broker::PassToModule(const ActiveRequest& request) {
+  Request described = DescribeForModule(request);
+  described.held = MustHoldForOrderingKey(request);
+  module_host_.Post(described);
+}
+
 Task<> Broker::RunRequest(ActiveRequestPtr request) {
-  if (!queue_) module_host_.Post(DescribeForModule(*request));
+  if (!queue_) PassToModule(*request);
   co_await RunUntilCompleted(request);
   if (queue_) queue_->OnRequestCompleted(request->id);
   --open_requests_;
   open_bytes_ -= request->client_request.forwarded.bytes();
   request->sink.reset();
   co_await AwaitCancelledAttempts(*request);
+  FinishOrderingKey(*request);
   ids_by_client_id_.erase(request->client_request_id());
   active_requests_.erase(request->id);
 }
@@ -153,7 +160,7 @@
 }
 
 Broker::Progress Broker::OnEvent(const ActiveRequestPtr& request, const admission_queue::Dispatch&) {
-  module_host_.Post(DescribeForModule(*request));
+  PassToModule(*request);
   return Progress::kOpen;
 }
 
--- a/src/broker/submission.cpp
+++ b/src/broker/submission.cpp
@@ -34,6 +34,7 @@
   ids_by_client_id_.emplace(request->client_request_id(), id);
   ++open_requests_;
   open_bytes_ += request->client_request.forwarded.bytes();
+  RegisterOrderingKey(*request);
   loop_.Spawn(RunRequest(std::move(request)));
   return id;
 }
--- a/src/decision/scheduler.h
+++ b/src/decision/scheduler.h
@@ -64,6 +64,7 @@
   // ---- Events ----
   void Handle(const SettingsChanged& change);
   void Handle(const ProcessCount& count);
+  void Handle(const RequestReleased& released);
   void Handle(const FleetSize& fleet_size);
   void Handle(const Shutdown&);
   void Handle(const EngineList& list);
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -99,7 +99,14 @@
   const std::optional<RequestId> first = ordering_key_queues_.Front(key, now_);
   if (!first) return;
   RequestState& request = requests_.at(*first);
-  if (request.phase == RequestPhase::kWaitingForOrderingKey) AddPending(request);
+  if (request.phase == RequestPhase::kWaitingForOrderingKey && !request.spec.held) AddPending(request);
+}
+
+void Scheduler::Handle(const RequestReleased& released) {
+  const auto it = requests_.find(released.id);
+  if (it == requests_.end()) return;
+  it->second.spec.held = false;
+  if (it->second.ordered) AdvanceOrderingKey(it->second.spec.ordering_key);
 }
 
 void Scheduler::RemoveFromOrderingKey(const RequestState& request) {
--- /dev/null
+++ b/src/hot_restart/ordering_key_file.cpp
@@ -0,0 +1,99 @@
+#include "hot_restart/ordering_key_file.h"
+
+#include <fcntl.h>
+#include <sys/mman.h>
+
+#include <atomic>
+#include <utility>
+
+namespace lemoncroft::hot_restart {
+namespace {
+
+constexpr const char* kFileName = "lemoncroft-order-1";
+constexpr mode_t kFileMode = 0600;
+constexpr std::size_t kHeaderWords = 8;  // the first is the counter of tickets, the others are unused
+constexpr std::size_t kFileWords =
+    kHeaderWords + static_cast<std::size_t>(OrderingKeyFile::kSlots) * OrderingKeyFile::kBuckets;
+constexpr std::size_t kFileBytes = kFileWords * sizeof(std::uint64_t);
+constexpr int kStateBits = 2;  // of a word; the others are the ticket
+constexpr std::uint64_t kStateMask = (1U << kStateBits) - 1;
+constexpr std::uint64_t kHashMultiplier = 0x9e3779b97f4a7c15;  // 2^64 divided by the golden ratio
+constexpr int kHashShift = 54;                                 // leaves the bits of a bucket's number
+static_assert(OrderingKeyFile::kBuckets == std::size_t{1} << (64 - kHashShift));
+
+std::uint64_t Encode(BucketWord word) {
+  return word.ticket << kStateBits | static_cast<std::uint64_t>(word.state);
+}
+
+BucketWord Decode(std::uint64_t word) {
+  return {word >> kStateBits, static_cast<OrderingState>(word & kStateMask)};
+}
+
+// The lock covers one byte for each slot, at the slot's number.
+struct flock SlotLock(int slot, short type) {
+  struct flock lock {};
+  lock.l_type = type;
+  lock.l_whence = SEEK_SET;
+  lock.l_start = slot;
+  lock.l_len = 1;
+  return lock;
+}
+
+}  // namespace
+
+std::unique_ptr<OrderingKeyFile> OrderingKeyFile::Open(const std::filesystem::path& tmpdir) {
+  runtime::Descriptor file(::open((tmpdir / kFileName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode));
+  // Without allocated blocks, a full file system would end the process at a later write to the mapping.
+  if (!file || ::posix_fallocate(file.get(), 0, kFileBytes) != 0) return nullptr;
+  void* const mapping = ::mmap(nullptr, kFileBytes, PROT_READ | PROT_WRITE, MAP_SHARED, file.get(), 0);
+  if (mapping == MAP_FAILED) return nullptr;
+  std::unique_ptr<OrderingKeyFile> opened(new OrderingKeyFile(std::move(file), mapping));
+  for (int slot = 0; slot < kSlots && opened->own_slot_ < 0; ++slot)
+    if (opened->TryLock(slot)) opened->own_slot_ = slot;
+  if (opened->own_slot_ < 0) return nullptr;
+  return opened;
+}
+
+OrderingKeyFile::~OrderingKeyFile() { ::munmap(mapping_, kFileBytes); }
+
+std::size_t OrderingKeyFile::BucketOf(std::uint64_t ordering_key) {
+  return static_cast<std::size_t>(ordering_key * kHashMultiplier >> kHashShift);
+}
+
+bool OrderingKeyFile::TryLock(int slot) {
+  struct flock lock = SlotLock(slot, F_WRLCK);
+  return ::fcntl(file_.get(), F_OFD_SETLK, &lock) == 0;
+}
+
+std::uint64_t& OrderingKeyFile::WordAt(int slot, std::size_t bucket) const {
+  return static_cast<std::uint64_t*>(
+      mapping_)[kHeaderWords + static_cast<std::size_t>(slot) * kBuckets + bucket];
+}
+
+std::uint64_t OrderingKeyFile::DrawTicket() {
+  return std::atomic_ref<std::uint64_t>(*static_cast<std::uint64_t*>(mapping_)).fetch_add(1) + 1;
+}
+
+BucketWord OrderingKeyFile::Load(int slot, std::size_t bucket) const {
+  return Decode(std::atomic_ref<std::uint64_t>(WordAt(slot, bucket)).load());
+}
+
+void OrderingKeyFile::Store(std::size_t bucket, BucketWord word) {
+  std::atomic_ref<std::uint64_t>(WordAt(own_slot_, bucket)).store(Encode(word));
+}
+
+bool OrderingKeyFile::IsOwned(int slot) const {
+  if (slot == own_slot_) return true;
+  struct flock lock = SlotLock(slot, F_WRLCK);
+  return ::fcntl(file_.get(), F_OFD_GETLK, &lock) != 0 || lock.l_type != F_UNLCK;
+}
+
+void OrderingKeyFile::ClearUnowned(int slot) {
+  if (slot == own_slot_ || !TryLock(slot)) return;
+  for (std::size_t bucket = 0; bucket < kBuckets; ++bucket)
+    std::atomic_ref<std::uint64_t>(WordAt(slot, bucket)).store(0);
+  struct flock unlock = SlotLock(slot, F_UNLCK);
+  ::fcntl(file_.get(), F_OFD_SETLK, &unlock);
+}
+
+}  // namespace lemoncroft::hot_restart
--- a/src/proxy/hot_restart.cpp
+++ b/src/proxy/hot_restart.cpp
@@ -9,6 +9,7 @@
 #include <system_error>
 #include <utility>
 
+#include "backend/engine_protocol.h"
 #include "hot_restart/process_limits.h"
 #include "proxy/config_fields.h"
 #include "proxy/resource_limits.h"
@@ -43,17 +44,31 @@
   return own;
 }
 
+// Returns null if `tmpdir` is null or can't be used.
+std::unique_ptr<hot_restart::OrderingKeyTurns> OpenOrderingKeys(const char* tmpdir,
+                                                                const Settings& settings) {
+  auto file = tmpdir == nullptr ? nullptr : hot_restart::OrderingKeyFile::Open(tmpdir);
+  if (file == nullptr) {
+    spdlog::warn("$TMPDIR cannot be used: the order of ordering keys is not kept over a hot restart");
+    return nullptr;
+  }
+  const hot_restart::OrderingKeyTurns::Settings hold_times{
+      .abandon_timeout = backend::kEngineAbandonTimeout + backend::kEngineAbandonMargin,
+      .pause = decision::ToDuration(settings.ordering_key_pause)};
+  return std::make_unique<hot_restart::OrderingKeyTurns>(std::move(file), hold_times, Now());
+}
+
 }  // namespace
 
 runtime::Descriptor InheritListener(const std::string& descriptor_number) {
   return runtime::AdoptListeningSocket(DescriptorNumber(descriptor_number));
 }
 
-std::unique_ptr<hot_restart::ProcessRegistry> JoinOtherProcesses(
-    const operator_config::OperatorFile& operator_file, const settings::Site& site, Operations& operations,
-    broker::Broker& broker) {
+SharedState JoinOtherProcesses(const operator_config::OperatorFile& operator_file, const settings::Site& site,
+                               Operations& operations, broker::Broker& broker) {
   const char* tmpdir = std::getenv("TMPDIR");
-  std::unique_ptr<hot_restart::ProcessRegistry> registry;
+  SharedState shared;
+  std::unique_ptr<hot_restart::ProcessRegistry>& registry = shared.registry;
   if (tmpdir != nullptr) registry = std::make_unique<hot_restart::ProcessRegistry>(tmpdir);
   if (registry == nullptr || !registry->registered())
     spdlog::warn("$TMPDIR cannot be used: the processes of a hot restart do not see each other");
@@ -64,7 +79,9 @@
   // This comes before the first endpoint list, because the predecessor may just have sent as many requests to
   // an engine in slow start as that engine can take.
   if (registry && registry->ReadOthers().usage.serving > 0) broker.SetProcessCount(kProcessesAtStart);
-  return registry;
+  shared.ordering_key_turns = OpenOrderingKeys(tmpdir, site.module);
+  broker.set_ordering_key_turns(shared.ordering_key_turns.get());
+  return shared;
 }
 
 Task<> AcceptOnceReady(runtime::Loop& loop, const discovery::EndpointDirectory& directory,
--- a/src/proxy/hot_restart.h
+++ b/src/proxy/hot_restart.h
@@ -14,6 +14,7 @@
 #include "discovery/endpoint_directory.h"
 #include "discovery/endpoint_watch.h"
 #include "frontend/frame_server.h"
+#include "hot_restart/ordering_key_turns.h"
 #include "hot_restart/process_registry.h"
 #include "operator_config/operator_file.h"
 #include "proxy/operations.h"
@@ -26,12 +27,18 @@
 // is not a number, std::runtime_error if the descriptor is not a listening socket.
 runtime::Descriptor InheritListener(const std::string& descriptor_number);
 
-// Registers this process with the other processes of the proxy. Imports the manual ejections that these have
-// stored, unless they are part of a replicated configuration. Must be called before the first endpoint list
-// is applied. Returns null if $TMPDIR is not set.
-std::unique_ptr<hot_restart::ProcessRegistry> JoinOtherProcesses(
-    const operator_config::OperatorFile& operator_file, const settings::Site& site, Operations& operations,
-    broker::Broker& broker);
+// What this process shares with the other processes of the proxy. A part is null if $TMPDIR can't be used for
+// it.
+struct SharedState {
+  std::unique_ptr<hot_restart::ProcessRegistry> registry;
+  std::unique_ptr<hot_restart::OrderingKeyTurns> ordering_key_turns;  // used by the broker
+};
+
+// Registers this process with the other processes of the proxy, and has the broker keep the order of ordering
+// keys with them. Imports the manual ejections that these have stored, unless they are part of a replicated
+// configuration. Must be called before the first endpoint list is applied and before the broker is started.
+SharedState JoinOtherProcesses(const operator_config::OperatorFile& operator_file, const settings::Site& site,
+                               Operations& operations, broker::Broker& broker);
 
 // Starts to accept clients once this process can serve as well as its predecessor: once it has a complete
 // endpoint list, and, unless a timeout passes first, the control feed's first response and a valid lease.
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -196,8 +196,8 @@
     server.set_ready(directory.has_complete_list());
   };
   Operations operations(loop, directory, broker, counters, on_endpoint_update);
-  std::unique_ptr<hot_restart::ProcessRegistry> registry;
-  if (inherits_listener) registry = JoinOtherProcesses(operator_file, *active_settings, operations, broker);
+  SharedState shared;
+  if (inherits_listener) shared = JoinOtherProcesses(operator_file, *active_settings, operations, broker);
 
   std::unique_ptr<Fleet> fleet;
   std::unique_ptr<ReplicatedConfigService> service;
@@ -226,7 +226,7 @@
   loop.Spawn(endpoint_watch.Run());
   loop.Spawn(engines.pool().CloseExpired());
   broker.Start();
-  StartServing(loop, ownership, registry.get(), operations, state);
+  StartServing(loop, ownership, shared.registry.get(), operations, state);
   const auto admin_listener = StartAdminListener(loop, config, operations, service.get());
   loop.Spawn(HandleSignals(loop, signals, options, state, operations, fleet.get()));
   spdlog::info("{} listens on {}", config.name, config.listen_address_text);
--- a/tests/gateway_requests_test.cpp
+++ b/tests/gateway_requests_test.cpp
@@ -99,6 +99,38 @@
   EXPECT_EQ(host.Attempts(2), 1);
 }
 
+// Another process of the gateway has an earlier request of the key.
+TEST(OrderingKey, HeldRequest_IsSentOnceReleasedAndBlocksLaterOnes) {
+  Settings s = DefaultSettings();
+  s.classes[0].in_order = true;
+  Host host(s);
+  host.DeliverList({ReadyEngine(1), ReadyEngine(2), ReadyEngine(3)});
+  Request held = MakeRequest(1), later = MakeRequest(2);
+  held.ordering_key = later.ordering_key = 5;
+  held.held = true;
+  host.Step({held, later});
+  EXPECT_TRUE(host.sends.empty());
+  host.Step({RequestReleased{1}, RequestReleased{77}});
+  EXPECT_EQ(host.Attempts(1), 1);
+  EXPECT_EQ(host.Attempts(2), 0);
+  host.EndAttempt(1, Outcome::kOk, kMs, 0, true);
+  EXPECT_EQ(host.Attempts(2), 1);
+}
+
+TEST(OrderingKey, HeldRequest_NeverReleased_IsRejectedBeforeItsDeadline) {
+  Settings s = DefaultSettings();
+  s.classes[0].in_order = true;
+  Host host(s);
+  host.DeliverList({ReadyEngine(1)});
+  Request held = MakeRequest(1, 0, 2 * kSecond);
+  held.ordering_key = 5;
+  held.held = true;
+  host.Step({held});
+  host.RunUntil(host.now + 2 * kSecond - kMs);
+  EXPECT_TRUE(host.rejected.contains(1));
+  EXPECT_TRUE(host.sends.empty());
+}
+
 // An attempt with an idempotency key and without a response is cancelled near the end of its repeat window
 // and not earlier.
 TEST(Repeats, KeyedAttempt_WithoutResponse_IsRetriedAtEndOfRepeatWindow) {
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -2,12 +2,18 @@
 #include <gtest/gtest.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <filesystem>
 #include <fstream>
+#include <memory>
+#include <random>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "hot_restart/ejection_store.h"
+#include "hot_restart/ordering_key_file.h"
+#include "hot_restart/ordering_key_turns.h"
 #include "hot_restart/process_limits.h"
 #include "hot_restart/process_registry.h"
 
@@ -129,5 +135,213 @@
   EXPECT_EQ(registry.ReadOthers().processes, 0u);
 }
 
+// Two processes of one proxy that take requests with ordering keys, on a clock of the test.
+class OrderingKeyTurnsTest : public HotRestart {
+ protected:
+  using Turns = hot_restart::OrderingKeyTurns;
+  using File = hot_restart::OrderingKeyFile;
+  using Ids = std::vector<RequestId>;
+  static constexpr std::uint64_t kKey = 5;
+  static constexpr auto kAbandonTimeout = 2100ms, kPause = 300ms;
+
+  std::unique_ptr<Turns> StartProcess() {
+    return std::make_unique<Turns>(File::Open(dir_), Turns::Settings{kAbandonTimeout, kPause}, now_);
+  }
+  // Registers the request and passes it to the module at once. Returns true if it has its turn.
+  bool Take(Turns& process, RequestId id, std::uint64_t key = kKey) {
+    process.Register(id, key);
+    return process.PassToModule(id, now_);
+  }
+  // Returns a key that shares no bucket with kKey.
+  static std::uint64_t OtherKey() {
+    std::uint64_t key = kKey + 1;
+    while (File::BucketOf(key) == File::BucketOf(kKey)) ++key;
+    return key;
+  }
+  // Returns another key of kKey's bucket.
+  static std::uint64_t CollidingKey() {
+    std::uint64_t key = kKey + 1;
+    while (File::BucketOf(key) != File::BucketOf(kKey)) ++key;
+    return key;
+  }
+
+  runtime::Time now_ = runtime::Time() + 1h;
+};
+
+TEST_F(OrderingKeyTurnsTest, RequestsOfOneKey_InTwoProcesses_RunInOrderOfArrival) {
+  const auto one = StartProcess(), two = StartProcess();
+  EXPECT_TRUE(Take(*one, 1));
+  EXPECT_FALSE(Take(*two, 2));
+  EXPECT_TRUE(Take(*two, 3, OtherKey()));
+  EXPECT_FALSE(Take(*one, 4)) << "request 2 arrived before it";
+  one->OnSent(1);
+  EXPECT_EQ(two->Update(now_), Ids{});
+  one->Finish(1, {}, now_);
+  EXPECT_EQ(one->Update(now_), Ids{});
+  EXPECT_EQ(two->Update(now_), Ids{2});
+  EXPECT_EQ(two->Update(now_), Ids{}) << "a request is released once";
+  two->Finish(2, {}, now_);
+  EXPECT_EQ(one->Update(now_), Ids{4});
+  EXPECT_FALSE(one->busy());
+}
+
+TEST_F(OrderingKeyTurnsTest, RequestsOfOneProcess_AreNotHeld) {
+  const auto process = StartProcess();
+  EXPECT_TRUE(Take(*process, 1));
+  EXPECT_TRUE(Take(*process, 2)) << "the decision module orders them";
+}
+
+TEST_F(OrderingKeyTurnsTest, PausedKey_IsHeldUntilEndOfPause) {
+  const auto one = StartProcess(), two = StartProcess();
+  Take(*one, 1);
+  one->OnSent(1);
+  one->Finish(1, now_ + kPause, now_);
+  EXPECT_TRUE(one->busy());
+  EXPECT_FALSE(Take(*two, 2));
+  now_ += kPause - 1ms;
+  one->Update(now_);
+  EXPECT_EQ(two->Update(now_), Ids{});
+  now_ += 1ms;
+  one->Update(now_);
+  EXPECT_EQ(two->Update(now_), Ids{2});
+  EXPECT_FALSE(one->busy());
+}
+
+TEST_F(OrderingKeyTurnsTest, ProcessThatEnds_HoldsItsKeysByWhatTheyMayStillRun) {
+  for (const bool sent : {false, true}) {
+    auto one = StartProcess();
+    const auto two = StartProcess();
+    Take(*one, 1);
+    if (sent) one->OnSent(1);
+    EXPECT_FALSE(Take(*two, 2));
+    one.reset();
+    const bool released = two->Update(now_) == Ids{2};
+    EXPECT_EQ(released, !sent) << "what was never sent doesn't run";
+    if (!sent) continue;
+    now_ += kAbandonTimeout + kPause - 1ms;
+    EXPECT_EQ(two->Update(now_), Ids{});
+    now_ += 1ms;
+    EXPECT_EQ(two->Update(now_), Ids{2});
+  }
+}
+
+TEST_F(OrderingKeyTurnsTest, ProcessThatEndsInAPause_HoldsItsKeyForOnePause) {
+  auto one = StartProcess();
+  const auto two = StartProcess();
+  Take(*one, 1);
+  one->Finish(1, now_ + kPause, now_);
+  one.reset();
+  EXPECT_FALSE(Take(*two, 2));
+  now_ += kPause;
+  EXPECT_EQ(two->Update(now_), Ids{2});
+}
+
+// The next process gets the same slot of the file.
+TEST_F(OrderingKeyTurnsTest, KeysLeftBehind_HoldRequestsOfNextOwnerOfTheSlot) {
+  auto one = StartProcess();
+  Take(*one, 1);
+  one->OnSent(1);
+  one.reset();
+  const auto next = StartProcess(), third = StartProcess();
+  EXPECT_FALSE(Take(*next, 2));
+  EXPECT_FALSE(Take(*third, 3));
+  now_ += kAbandonTimeout + kPause;
+  EXPECT_EQ(next->Update(now_), Ids{2});
+  next->Finish(2, {}, now_);
+  EXPECT_EQ(third->Update(now_), Ids{3});
+}
+
+TEST_F(OrderingKeyTurnsTest, KeysLeftBehind_AreRemovedOnceNobodyWaitsForThem) {
+  auto one = StartProcess();
+  const auto two = StartProcess();
+  Take(*one, 1);
+  one->OnSent(1);
+  one.reset();
+  two->Update(now_);
+  now_ += kAbandonTimeout + kPause;
+  two->Update(now_);
+  const auto next = StartProcess();
+  EXPECT_TRUE(Take(*next, 2));
+}
+
+TEST_F(OrderingKeyTurnsTest, KeysOfOneBucket_AreHeldAlikeAndAllRun) {
+  const auto one = StartProcess(), two = StartProcess();
+  EXPECT_TRUE(Take(*one, 1));
+  EXPECT_FALSE(Take(*two, 2, CollidingKey()));
+  EXPECT_FALSE(Take(*one, 3, CollidingKey()));
+  one->Finish(1, {}, now_);
+  EXPECT_EQ(two->Update(now_), Ids{2});
+  two->Finish(2, {}, now_);
+  EXPECT_EQ(one->Update(now_), Ids{3});
+}
+
+// An admission queue may pass the second request of a key to the module first. The module runs it first, so
+// that it must not wait for another process that waits for the first one.
+TEST_F(OrderingKeyTurnsTest, RequestsPassedInAnotherOrder_DontBlockEachOther) {
+  const auto one = StartProcess(), two = StartProcess();
+  one->Register(1, kKey);
+  EXPECT_FALSE(Take(*two, 2));
+  one->Register(3, kKey);
+  EXPECT_TRUE(one->PassToModule(3, now_));
+  EXPECT_TRUE(one->PassToModule(1, now_));
+  one->Finish(1, {}, now_);  // its client has left
+  EXPECT_EQ(two->Update(now_), Ids{}) << "request 3 may run already";
+  one->Finish(3, {}, now_);
+  EXPECT_EQ(two->Update(now_), Ids{2});
+}
+
+// Random requests in up to three processes, which end in order or abruptly: never two of one key at once, in
+// the order of arrival, and each has its turn in the end.
+TEST_F(OrderingKeyTurnsTest, RandomRequests_RunOneAtATimeInOrderAndAllRun) {
+  for (std::uint32_t seed = 1; seed <= 50; ++seed) {
+    fs::remove_all(dir_);
+    fs::create_directories(dir_);
+    std::mt19937 random(seed);
+    std::vector<std::unique_ptr<Turns>> processes(3);
+    struct Waiting {
+      RequestId id;
+      std::size_t process;
+      bool has_turn;
+    };
+    std::vector<Waiting> waiting;  // the front is the oldest
+    RequestId next_id = 1;
+    constexpr int kArrivalSteps = 60;
+    // Each request may be followed by a pause, and by a second one if its process ends meanwhile.
+    const int max_steps = kArrivalSteps * static_cast<int>(2 * kPause / 1ms);
+    for (int step = 0; step < kArrivalSteps || !waiting.empty(); ++step) {
+      ASSERT_LT(step, max_steps) << "seed " << seed << ": a request never has its turn";
+      now_ += 1ms;
+      const std::size_t p = random() % processes.size();
+      if (!processes[p]) processes[p] = StartProcess();
+      if (step < kArrivalSteps && random() % 2 == 0) {
+        const RequestId id = next_id++;
+        const bool has_turn = Take(*processes[p], id);
+        waiting.push_back({id, p, has_turn});
+      }
+      for (const auto& process : processes) {
+        if (!process) continue;
+        for (const RequestId id : process->Update(now_))
+          for (Waiting& w : waiting) w.has_turn = w.has_turn || w.id == id;
+      }
+      // The module of each process runs its own requests in order: only the first of a process may run.
+      std::set<std::size_t> seen;
+      std::vector<Waiting> running;
+      for (const Waiting& w : waiting)
+        if (seen.insert(w.process).second && w.has_turn) running.push_back(w);
+      ASSERT_LE(running.size(), 1u) << "seed " << seed;
+      if (running.empty() || random() % 3 != 0) continue;
+      ASSERT_EQ(running[0].id, waiting[0].id) << "seed " << seed;
+      const std::size_t owner = running[0].process;
+      processes[owner]->OnSent(running[0].id);
+      const bool uncertain = random() % 4 == 0;
+      processes[owner]->Finish(running[0].id, uncertain ? now_ + kPause : runtime::Time(), now_);
+      waiting.erase(waiting.begin());
+      const bool has_others =
+          std::any_of(waiting.begin(), waiting.end(), [&](const Waiting& w) { return w.process == owner; });
+      if (!has_others && random() % 4 == 0) processes[owner].reset();
+    }
+  }
+}
+
 }  // namespace
 }  // namespace lemoncroft
