--- a/src/hot_restart/ordering_key_file.cpp
+++ b/src/hot_restart/ordering_key_file.cpp
@@ -11,7 +11,8 @@
 
 constexpr const char* kFileName = "lemoncroft-order-1";
 constexpr mode_t kFileMode = 0600;
-constexpr std::size_t kHeaderWords = 8;  // the first is the counter of tickets, the others are unused
+constexpr std::size_t kTicketCounter = 0, kFirstOwnerCounter = 8;  // in the header; the others are unused
+constexpr std::size_t kHeaderWords = kFirstOwnerCounter + OrderingKeyFile::kSlots;
 constexpr std::size_t kFileWords =
     kHeaderWords + static_cast<std::size_t>(OrderingKeyFile::kSlots) * OrderingKeyFile::kBuckets;
 constexpr std::size_t kFileBytes = kFileWords * sizeof(std::uint64_t);
@@ -51,6 +52,8 @@
   for (int slot = 0; slot < kSlots && opened->own_slot_ < 0; ++slot)
     if (opened->TryLock(slot)) opened->own_slot_ = slot;
   if (opened->own_slot_ < 0) return nullptr;
+  const auto own_slot = static_cast<std::size_t>(opened->own_slot_);
+  std::atomic_ref<std::uint64_t>(opened->HeaderWord(kFirstOwnerCounter + own_slot)).fetch_add(1);
   return opened;
 }
 
@@ -65,13 +68,17 @@
   return ::fcntl(file_.get(), F_OFD_SETLK, &lock) == 0;
 }
 
+std::uint64_t& OrderingKeyFile::HeaderWord(std::size_t index) const {
+  return static_cast<std::uint64_t*>(mapping_)[index];
+}
+
 std::uint64_t& OrderingKeyFile::WordAt(int slot, std::size_t bucket) const {
   return static_cast<std::uint64_t*>(
       mapping_)[kHeaderWords + static_cast<std::size_t>(slot) * kBuckets + bucket];
 }
 
 std::uint64_t OrderingKeyFile::DrawTicket() {
-  return std::atomic_ref<std::uint64_t>(*static_cast<std::uint64_t*>(mapping_)).fetch_add(1) + 1;
+  return std::atomic_ref<std::uint64_t>(HeaderWord(kTicketCounter)).fetch_add(1) + 1;
 }
 
 BucketWord OrderingKeyFile::Load(int slot, std::size_t bucket) const {
@@ -82,6 +89,11 @@
   std::atomic_ref<std::uint64_t>(WordAt(own_slot_, bucket)).store(Encode(word));
 }
 
+std::uint64_t OrderingKeyFile::CountOwners(int slot) const {
+  return std::atomic_ref<std::uint64_t>(HeaderWord(kFirstOwnerCounter + static_cast<std::size_t>(slot)))
+      .load();
+}
+
 bool OrderingKeyFile::IsOwned(int slot) const {
   if (slot == own_slot_) return true;
   struct flock lock = SlotLock(slot, F_WRLCK);
--- a/src/hot_restart/ordering_key_file.h
+++ b/src/hot_restart/ordering_key_file.h
@@ -1,10 +1,11 @@
 // The ordering keys in use by each process of one proxy, in a file in $TMPDIR that the processes map.
 //
-// The file has a counter of tickets and, for each process, a slot with a fixed number of buckets. Ordering
-// keys are mapped to buckets by their hash. A bucket's word describes the requests of one process whose keys
-// belong to the bucket. A process locks one slot and holds the lock until it ends, so that the kernel
-// releases the slot however the process ends; the words remain. Only the owner of a slot, or a process that
-// holds its lock, writes to it. Words and counter are atomic; no call waits for another process.
+// The file has a counter of tickets and, for each process, a slot with a fixed number of buckets and the
+// number of its owners so far. Ordering keys are mapped to buckets by their hash. A bucket's word describes
+// the requests of one process whose keys belong to the bucket. A process locks one slot and holds the lock
+// until it ends, so that the kernel releases the slot however the process ends; the words remain. Only the
+// owner of a slot, or a process that holds its lock, writes to it. Words and counter are atomic; no call
+// waits for another process.
 //
 // The file's name and format are shared with other versions of the program and must not change. Each process
 // has one OrderingKeyFile and uses it from one thread.
@@ -55,6 +56,8 @@
   BucketWord Load(int slot, std::size_t bucket) const;
   // Replaces a word of this process.
   void Store(std::size_t bucket, BucketWord word);
+  // Returns how many processes have owned the slot so far.
+  std::uint64_t CountOwners(int slot) const;
   // Returns true if a process owns the slot.
   bool IsOwned(int slot) const;
   // Removes the words of a slot that no process owns.
@@ -63,6 +66,7 @@
  private:
   OrderingKeyFile(runtime::Descriptor file, void* mapping) : file_(std::move(file)), mapping_(mapping) {}
   bool TryLock(int slot);
+  std::uint64_t& HeaderWord(std::size_t index) const;
   std::uint64_t& WordAt(int slot, std::size_t bucket) const;
 
   runtime::Descriptor file_;
--- a/src/hot_restart/ordering_key_turns.cpp
+++ b/src/hot_restart/ordering_key_turns.cpp
@@ -94,7 +94,7 @@
   const BucketWord word = file_->Load(slot, bucket);
   if (word.state == OrderingState::kNone || word.ticket > ticket) return false;
   ObserveOwner(slot, now);
-  const auto& unowned_since = unowned_since_[static_cast<std::size_t>(slot)];
+  const auto& unowned_since = observed_slots_[static_cast<std::size_t>(slot)].unowned_since;
   return !unowned_since || now < *unowned_since + HoldTime(word.state);
 }
 
@@ -166,17 +166,17 @@
 // The words of a slot without an owner are removed once nothing has to wait for them, so that the next owner
 // doesn't take them for new ones.
 void OrderingKeyTurns::ObserveOwner(int slot, Time now) {
-  const auto index = static_cast<std::size_t>(slot);
-  auto& unowned_since = unowned_since_[index];
-  if (file_->IsOwned(slot)) {
-    unowned_since.reset();
-    cleared_[index] = false;
-    return;
-  }
-  if (!unowned_since) unowned_since = now;
-  if (cleared_[index] || now < *unowned_since + HoldTime(OrderingState::kSent)) return;
+  ObservedSlot& observed = observed_slots_[static_cast<std::size_t>(slot)];
+  const bool owned = file_->IsOwned(slot);
+  // An owner may have come and gone since the last call.
+  const std::uint64_t owner_count = file_->CountOwners(slot);
+  if (owned || observed.owner_count != owner_count)
+    observed = {.owner_count = owner_count, .unowned_since = {}, .cleared = false};
+  if (owned) return;
+  if (!observed.unowned_since) observed.unowned_since = now;
+  if (observed.cleared || now < *observed.unowned_since + HoldTime(OrderingState::kSent)) return;
   file_->ClearUnowned(slot);
-  cleared_[index] = true;
+  observed.cleared = true;
 }
 
 }  // namespace lemoncroft::hot_restart
--- a/src/hot_restart/ordering_key_turns.h
+++ b/src/hot_restart/ordering_key_turns.h
@@ -67,6 +67,12 @@
     runtime::Time paused_until = runtime::kNever;
     bool left_behind = false;  // by a former owner of the slot
   };
+  // What this process knows of a slot.
+  struct ObservedSlot {
+    std::uint64_t owner_count = 0;
+    std::optional<runtime::Time> unowned_since;  // when it was noticed that the last owner has ended
+    bool cleared = false;                        // the words of the last owner are removed
+  };
   static constexpr std::uint64_t kNotPassed = UINT64_MAX;
   using Entries = std::vector<Entry>;
 
@@ -89,9 +95,7 @@
   std::vector<RequestId> awaiting_turn_;  // in the order of their positions
   std::size_t paused_keys_ = 0;
   std::uint64_t passed_count_ = 0;
-  // When it was noticed that a slot has no owner; nothing while it has one, or has no words.
-  std::array<std::optional<runtime::Time>, OrderingKeyFile::kSlots> unowned_since_{};
-  std::array<bool, OrderingKeyFile::kSlots> cleared_{};
+  std::array<ObservedSlot, OrderingKeyFile::kSlots> observed_slots_{};
 };
 
 }  // namespace lemoncroft::hot_restart
--- a/tests/hot_restart_test.cpp
+++ b/tests/hot_restart_test.cpp
@@ -264,6 +264,22 @@
   EXPECT_TRUE(Take(*next, 2));
 }
 
+// The other process looks before and after the life of a process in a slot that another one had left long
+// ago.
+TEST_F(OrderingKeyTurnsTest, ProcessThatNobodySaw_HoldsItsKeys) {
+  auto one = StartProcess();
+  const auto two = StartProcess();
+  one.reset();
+  two->Update(now_);
+  now_ += kAbandonTimeout + kPause;
+  two->Update(now_);
+  one = StartProcess();
+  Take(*one, 1);
+  one->OnSent(1);
+  one.reset();
+  EXPECT_FALSE(Take(*two, 2));
+}
+
 TEST_F(OrderingKeyTurnsTest, KeysOfOneBucket_AreHeldAlikeAndAllRun) {
   const auto one = StartProcess(), two = StartProcess();
   EXPECT_TRUE(Take(*one, 1));
@@ -290,6 +306,28 @@
   EXPECT_EQ(two->Update(now_), Ids{2});
 }
 
+// The file is shared with other versions of the program: a counter of tickets, seven unused words, the number
+// of owners of each of the eight slots, then the slots of 1,024 words. A word is the ticket times 4, plus 1
+// (waiting), 2 (sent) or 3 (resting).
+TEST_F(OrderingKeyTurnsTest, File_HasTheFormatOfOtherVersions) {
+  const auto one = StartProcess(), two = StartProcess();
+  Take(*one, 1);
+  Take(*two, 2);
+  one->OnSent(1);
+  std::ifstream file(dir_ / "lemoncroft-order-1", std::ios::binary);
+  std::vector<std::uint64_t> words(16 + 8 * 1024);
+  file.read(reinterpret_cast<char*>(words.data()), static_cast<std::streamsize>(words.size() * 8));
+  ASSERT_TRUE(file);
+  EXPECT_EQ(file.peek(), EOF);
+  constexpr std::size_t kBucket = 92;  // of key 5
+  EXPECT_EQ(words[0], 2u);
+  EXPECT_EQ(words[8], 1u);
+  EXPECT_EQ(words[9], 1u);
+  EXPECT_EQ(words[16 + kBucket], 1u * 4 + 2);
+  EXPECT_EQ(words[16 + 1024 + kBucket], 2u * 4 + 1);
+  EXPECT_EQ(std::count(words.begin(), words.end(), 0u), 16 + 8 * 1024 - 5);
+}
+
 // Random requests in up to three processes, which end in order or abruptly: never two of one key at once, in
 // the order of arrival, and each has its turn in the end.
 TEST_F(OrderingKeyTurnsTest, RandomRequests_RunOneAtATimeInOrderAndAllRun) {
