State once when an attempt may have run, and how a slot of a file is locked

Change: MayHaveRun and MayStillRun stand in lemoncroft/types.h for the module and the broker; hot_restart/slot_lock.h serves the process registry and the file of ordering keys. Nothing else changes.

--- a/include/lemoncroft/types.h
+++ b/include/lemoncroft/types.h
@@ -49,6 +49,17 @@
 // engine: it never left this process, or the engine dropped it as expired before starting it.
 enum class Outcome { kOk, kError, kFull, kTimeout, kConnectFailed, kReset, kCancelled, kNotSent, kLost };
 
+// Returns true if an engine may have executed the statement of an attempt with this outcome.
+constexpr bool MayHaveRun(Outcome outcome) {
+  return outcome != Outcome::kFull && outcome != Outcome::kConnectFailed && outcome != Outcome::kNotSent;
+}
+
+// Returns true if an engine may still be running an attempt with this outcome. The attempt's ordering key, if
+// it has one, is then paused.
+constexpr bool MayStillRun(Outcome outcome) {
+  return MayHaveRun(outcome) && outcome != Outcome::kOk && outcome != Outcome::kError;
+}
+
 inline constexpr std::size_t kMaxReportFields = 4;
 
 // The load figures that an engine reports about itself, in the order of Settings::report_fields. A missing
--- a/src/broker/attempts.cpp
+++ b/src/broker/attempts.cpp
@@ -17,16 +17,6 @@
 
 namespace {
 
-// Returns true if an engine may have executed the statement of an attempt with this outcome.
-bool MayHaveRun(Outcome outcome) {
-  return outcome != Outcome::kFull && outcome != Outcome::kConnectFailed && outcome != Outcome::kNotSent;
-}
-
-// Returns true if an engine may still be running an attempt with this outcome.
-bool MayStillRun(Outcome outcome) {
-  return MayHaveRun(outcome) && outcome != Outcome::kOk && outcome != Outcome::kError;
-}
-
 std::int64_t Milliseconds(Nanos nanos) { return nanos / 1'000'000; }
 
 void LogAttemptEnded(const ActiveRequest& request, const AttemptRecord& attempt, const AttemptEnded& event) {
--- a/src/decision/scheduler_attempts.cpp
+++ b/src/decision/scheduler_attempts.cpp
@@ -6,19 +6,6 @@
 #include "decision/scheduler.h"
 
 namespace lemoncroft::decision {
-namespace {
-
-bool MayHaveRun(Outcome outcome) {
-  return outcome != Outcome::kFull && outcome != Outcome::kConnectFailed && outcome != Outcome::kNotSent;
-}
-
-// Returns true if the engine may still be running the attempt. If the request is ordered, its ordering key is
-// then paused.
-bool MayStillRun(Outcome outcome) {
-  return MayHaveRun(outcome) && outcome != Outcome::kOk && outcome != Outcome::kError;
-}
-
-}  // namespace
 
 RequestState* Scheduler::FindAttempt(RequestId id, int attempt) {
   const auto it = requests_.find(id);
--- a/src/hot_restart/ordering_key_file.cpp
+++ b/src/hot_restart/ordering_key_file.cpp
@@ -6,6 +6,8 @@
 #include <atomic>
 #include <utility>
 
+#include "hot_restart/slot_lock.h"
+
 namespace lemoncroft::hot_restart {
 namespace {
 
@@ -30,16 +32,6 @@
   return {word >> kStateBits, static_cast<OrderingState>(word & kStateMask)};
 }
 
-// The lock covers one byte for each slot, at the slot's number.
-struct flock SlotLock(int slot, short type) {
-  struct flock lock {};
-  lock.l_type = type;
-  lock.l_whence = SEEK_SET;
-  lock.l_start = slot;
-  lock.l_len = 1;
-  return lock;
-}
-
 }  // namespace
 
 std::unique_ptr<OrderingKeyFile> OrderingKeyFile::Open(const std::filesystem::path& tmpdir) {
@@ -49,8 +41,9 @@
   void* const mapping = ::mmap(nullptr, kFileBytes, PROT_READ | PROT_WRITE, MAP_SHARED, file.get(), 0);
   if (mapping == MAP_FAILED) return nullptr;
   std::unique_ptr<OrderingKeyFile> opened(new OrderingKeyFile(std::move(file), mapping));
+  // A lock covers the byte at the slot's number.
   for (int slot = 0; slot < kSlots && opened->own_slot_ < 0; ++slot)
-    if (opened->TryLock(slot)) opened->own_slot_ = slot;
+    if (TryLockSlot(opened->file_.get(), slot)) opened->own_slot_ = slot;
   if (opened->own_slot_ < 0) return nullptr;
   const auto own_slot = static_cast<std::size_t>(opened->own_slot_);
   std::atomic_ref<std::uint64_t>(opened->HeaderWord(kFirstOwnerCounter + own_slot)).fetch_add(1);
@@ -63,11 +56,6 @@
   return static_cast<std::size_t>(ordering_key * kHashMultiplier >> kHashShift);
 }
 
-bool OrderingKeyFile::TryLock(int slot) {
-  struct flock lock = SlotLock(slot, F_WRLCK);
-  return ::fcntl(file_.get(), F_OFD_SETLK, &lock) == 0;
-}
-
 std::uint64_t& OrderingKeyFile::HeaderWord(std::size_t index) const {
   return static_cast<std::uint64_t*>(mapping_)[index];
 }
@@ -95,17 +83,14 @@
 }
 
 bool OrderingKeyFile::IsOwned(int slot) const {
-  if (slot == own_slot_) return true;
-  struct flock lock = SlotLock(slot, F_WRLCK);
-  return ::fcntl(file_.get(), F_OFD_GETLK, &lock) != 0 || lock.l_type != F_UNLCK;
+  return slot == own_slot_ || StateOfSlotLock(file_.get(), slot) != SlotLockState::kFree;
 }
 
 void OrderingKeyFile::ClearUnowned(int slot) {
-  if (slot == own_slot_ || !TryLock(slot)) return;
+  if (slot == own_slot_ || !TryLockSlot(file_.get(), slot)) return;
   for (std::size_t bucket = 0; bucket < kBuckets; ++bucket)
     std::atomic_ref<std::uint64_t>(WordAt(slot, bucket)).store(0);
-  struct flock unlock = SlotLock(slot, F_UNLCK);
-  ::fcntl(file_.get(), F_OFD_SETLK, &unlock);
+  UnlockSlot(file_.get(), slot);
 }
 
 }  // namespace lemoncroft::hot_restart
--- a/src/hot_restart/ordering_key_file.h
+++ b/src/hot_restart/ordering_key_file.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <filesystem>
 #include <memory>
+#include <utility>
 
 #include "runtime/descriptor.h"
 
@@ -65,7 +66,6 @@
 
  private:
   OrderingKeyFile(runtime::Descriptor file, void* mapping) : file_(std::move(file)), mapping_(mapping) {}
-  bool TryLock(int slot);
   std::uint64_t& HeaderWord(std::size_t index) const;
   std::uint64_t& WordAt(int slot, std::size_t bucket) const;
 
--- a/src/hot_restart/process_registry.cpp
+++ b/src/hot_restart/process_registry.cpp
@@ -5,6 +5,8 @@
 
 #include <algorithm>
 
+#include "hot_restart/slot_lock.h"
+
 namespace lemoncroft::hot_restart {
 namespace {
 
@@ -15,24 +17,13 @@
 
 off_t SlotOffset(int slot) { return static_cast<off_t>(slot) * static_cast<off_t>(sizeof(ConnectionUsage)); }
 
-// The lock covers the first byte of the slot.
-struct flock SlotLock(int slot) {
-  struct flock lock {};
-  lock.l_type = F_WRLCK;
-  lock.l_whence = SEEK_SET;
-  lock.l_start = SlotOffset(slot);
-  lock.l_len = 1;
-  return lock;
-}
-
 }  // namespace
 
 ProcessRegistry::ProcessRegistry(const std::filesystem::path& tmpdir)
     : file_(::open((tmpdir / kFileName).c_str(), O_RDWR | O_CREAT | O_CLOEXEC, kFileMode)) {
-  for (int slot = 0; file_ && slot < kMaxProcesses && slot_ < 0; ++slot) {
-    struct flock lock = SlotLock(slot);
-    if (::fcntl(file_.get(), F_OFD_SETLK, &lock) == 0) slot_ = slot;
-  }
+  // A lock covers the first byte of its slot.
+  for (int slot = 0; file_ && slot < kMaxProcesses && slot_ < 0; ++slot)
+    if (TryLockSlot(file_.get(), SlotOffset(slot))) slot_ = slot;
   Publish({});
 }
 
@@ -46,8 +37,7 @@
   OtherProcesses others;
   for (int slot = 0; file_ && slot < kMaxProcesses; ++slot) {
     if (slot == slot_) continue;
-    struct flock lock = SlotLock(slot);
-    if (::fcntl(file_.get(), F_OFD_GETLK, &lock) != 0 || lock.l_type == F_UNLCK) continue;
+    if (StateOfSlotLock(file_.get(), SlotOffset(slot)) != SlotLockState::kLocked) continue;
     ++others.processes;
     ConnectionUsage usage;
     if (::pread(file_.get(), &usage, sizeof usage, SlotOffset(slot)) != sizeof usage) continue;
--- a/src/testing/simulation/site_invariant_checker.cpp
+++ b/src/testing/simulation/site_invariant_checker.cpp
@@ -11,12 +11,8 @@
 constexpr Nanos kMaxIdleWait = 2 * kSecond;  // limit for a request while an engine that may run it is idle
 constexpr Nanos kResponseSlack = 10 * kMs;   // two ticks after the deadline
 
-bool MayHaveRun(Outcome outcome) {
-  return outcome != Outcome::kFull && outcome != Outcome::kConnectFailed && outcome != Outcome::kNotSent;
-}
-
-// Returns true if the attempt may still run on its engine, so that its ordering key must pause.
-bool MayStillRun(Outcome outcome) {
+// Returns true if the rules demand a pause of the ordering key: the attempt may still run on its engine.
+bool MustPauseKey(Outcome outcome) {
   return outcome == Outcome::kTimeout || outcome == Outcome::kReset || outcome == Outcome::kCancelled;
 }
 
@@ -163,7 +159,7 @@
   ended.in_flight = false;
   ended.may_have_run = MayHaveRun(outcome);
   active.waiting_since = now;
-  if (IsOrdered(active) && MayStillRun(outcome)) {
+  if (IsOrdered(active) && MustPauseKey(outcome)) {
     OrderingKeyQueue& queue =
         gateways_[static_cast<std::size_t>(active.gateway)].ordering_key_queues[active.request.ordering_key];
     queue.pause_until = now + site_.settings.ordering_key_pause;
