--- a/review/standin-2/half_frames.cc
+++ b/review/standin-2/half_frames.cc
@@ -1,4 +1,4 @@
-// review/6: clients that fall silent within a frame, and another client's requests.
+// review/7: clients that fall silent within a frame, and another client's requests.
 #include "standin.hh"
 
 using namespace standin;
