--- a/review/standin-2/late_exclude.cc
+++ b/review/standin-2/late_exclude.cc
@@ -1,4 +1,4 @@
-// review/7: an exclusion that a proxy accepts while it doesn't know the newest version.
+// review/9: an exclusion that a proxy accepts while it doesn't know the newest version.
 #include "rules_fleet.hh"
 
 using namespace standin;
--- a/review/standin-2/rules_fleet.hh
+++ b/review/standin-2/rules_fleet.hh
@@ -10,6 +10,8 @@
 
 class RulesFleet {
  public:
+  // kRelayed: through a relay. kDirect: no relay; n1 has two addresses, as a hot restart needs them.
+  enum class Peers { kRelayed, kDirect };
   struct Proxy {
     std::string name, folder, command;
     Site site;
@@ -20,7 +22,7 @@
   };
 
   // Proxies n1 to n`size`, of which the first `voter_count` are the voters. Databases e1, e2, ...
-  RulesFleet(int size, int voter_count, int database_count)
+  RulesFleet(int size, int voter_count, int database_count, Peers peers = Peers::kRelayed)
       : databases(*new std::vector<Database>(database_count)) {
     Feed& feed = *new Feed;  // the stand-ins' threads end with the process
     feed.Start(FreeAddress());
@@ -37,7 +39,7 @@
       ::mkdir(proxy.folder.c_str(), 0700);
       proxy.gossip = FreeAddress("127.0.71." + std::to_string(i));
       proxy.known = {"127.0.72." + std::to_string(i), FreeAddress("127.0.72." + std::to_string(i)).port};
-      proxy.link = &relay.Add(proxy.gossip, proxy.known);
+      if (peers == Peers::kRelayed) proxy.link = &relay.Add(proxy.gossip, proxy.known);
       proxy.site.name = proxy.name;
       proxy.site.listen = FreeAddress();
       proxy.site.management = FreeAddress();
@@ -47,19 +49,25 @@
       proxy.site.databases = list;
       proxy.site.classes = {{.name = "lookup"}};
       if (i <= voter_count) {
-        seeds += " \"" + proxy.known.text() + "\"";
+        const bool has_second = peers == Peers::kRelayed || i == 1;
+        if (peers == Peers::kDirect) seeds += " \"" + proxy.gossip.text() + "\"";
+        if (has_second) seeds += " \"" + proxy.known.text() + "\"";
         voters += " \"" + proxy.name + "\"";
       }
     }
     relay.Start();
     for (Proxy& proxy : proxies) {
+      std::string second_address;
+      if (peers == Peers::kRelayed)
+        second_address = "\"\n  advertise \"" + proxy.known.text();
+      else if (proxy.name == "n1")
+        second_address = "\" \"" + proxy.known.text();
       const bool votes = voters.find("\"" + proxy.name + "\"") != std::string::npos;
       WriteFile(proxy.folder + "/config.json", ConfigOf(proxy.site));
       WriteFile(proxy.folder + "/operator.kdl",
-                "fleet \"hanul\" {\n  listen \"" + proxy.gossip.text() + "\"\n  advertise \"" +
-                    proxy.known.text() + "\"\n  seeds" + seeds + "\n  zone \"east\"\n" +
-                    "  period \"250ms\"\n}\nrules {\n  voters" + voters + "\n" +
-                    (votes ? "  store \"" + proxy.folder + "/rules\"\n" : "") +
+                "fleet \"hanul\" {\n  listen \"" + proxy.gossip.text() + second_address + "\"\n  seeds" +
+                    seeds + "\n  zone \"east\"\n" + "  period \"250ms\"\n}\nrules {\n  voters" + voters +
+                    "\n" + (votes ? "  store \"" + proxy.folder + "/rules\"\n" : "") +
                     "  lease \"1s\"\n  beat \"250ms\"\n}\n");
       proxy.command = RunCommand() + " serve --config " + proxy.folder + "/config.json --operator " +
                       proxy.folder + "/operator.kdl --log-level debug";
@@ -74,6 +82,17 @@
     proxy.process->Start(proxy.name, proxy.command, {{"TMPDIR", proxy.folder}}, proxy.folder + "/log");
   }
 
+  // Starts a process of the proxy that inherits the clients' listening socket. Behind the first, it is called
+  // at an address of its own.
+  std::unique_ptr<Process> StartInheriting(int number, int listener, const At& management) {
+    Proxy& proxy = at(number);
+    auto process = std::make_unique<Process>();
+    process->Start(proxy.name + " at " + management.text(), proxy.command,
+                   {{"TMPDIR", proxy.folder}, {"PROXY_FD", "3"}, {"PROXY_MANAGEMENT", management.text()}},
+                   proxy.folder + "/log", listener);
+    return process;
+  }
+
   // Waits until the proxy says that it serves.
   void AwaitReadyz(int number, double within = 10) {
     const double until = Seconds() + within;
