--- a/review/standin-2/slow_frame.cc
+++ b/review/standin-2/slow_frame.cc
@@ -1,4 +1,4 @@
-// review/8: A client that writes one of its requests slowly, while another request of it is open.
+// review/10: a client that writes one of its requests slowly, while another request of it is open.
 #include "standin.hh"
 
 using namespace standin;
--- a/review/standin-2/standin.hh
+++ b/review/standin-2/standin.hh
@@ -634,6 +634,8 @@
   std::vector<std::string> tenants = {"acme"};
   std::vector<std::pair<std::string, At>> databases;
   int cores = 8;
+  bool may_duplicate = true;
+  int max_attempts = 5;
   double order_pause_s = 0.3;
 };
 
@@ -680,7 +682,8 @@
   out << R"(],"cpuOfKind":[)" << site.cores
       << R"(],"ramOfKindMb":[16384],"maxGrantShare":0.4,"takesGrants":true,)"
       << R"("ranksHeeded":true,"saysCost":true,"memoryShort":"queue","progressNs":0},)"
-      << R"("limits":{"cancel":true,"mayDuplicate":true,"retryAfter":true,"maxAttempts":5,"maxOpen":10000,)"
+      << R"("limits":{"cancel":true,"mayDuplicate":)" << (site.may_duplicate ? "true" : "false")
+      << R"(,"retryAfter":true,"maxAttempts":)" << site.max_attempts << R"(,"maxOpen":10000,)"
       << R"("maxRetryAfterNs":1000000000,"connectTimeoutNs":250000000,"keepaliveNs":15000000000,)"
       << R"("probing":true},)"
       << R"("guarantees":{"answerSlackNs":20000000,"drainGraceNs":250000000,"coldFrom":0.31,)"
