--- a/review/standin-2/rules_fleet.hh
+++ b/review/standin-2/rules_fleet.hh
@@ -10,7 +10,8 @@
 
 class RulesFleet {
  public:
-  // kRelayed: through a relay. kDirect: no relay; n1 has two addresses, as a hot restart needs them.
+  // kRelayed: through a relay. kDirect: no relay; the last proxy has two addresses, as a hot restart needs
+  // them.
   enum class Peers { kRelayed, kDirect };
   struct Proxy {
     std::string name, folder, command;
@@ -49,7 +50,7 @@
       proxy.site.databases = list;
       proxy.site.classes = {{.name = "lookup"}};
       if (i <= voter_count) {
-        const bool has_second = peers == Peers::kRelayed || i == 1;
+        const bool has_second = peers == Peers::kRelayed;
         if (peers == Peers::kDirect) seeds += " \"" + proxy.gossip.text() + "\"";
         if (has_second) seeds += " \"" + proxy.known.text() + "\"";
         voters += " \"" + proxy.name + "\"";
@@ -60,7 +61,7 @@
       std::string second_address;
       if (peers == Peers::kRelayed)
         second_address = "\"\n  advertise \"" + proxy.known.text();
-      else if (proxy.name == "n1")
+      else if (&proxy == &proxies.back())
         second_address = "\" \"" + proxy.known.text();
       const bool votes = voters.find("\"" + proxy.name + "\"") != std::string::npos;
       WriteFile(proxy.folder + "/config.json", ConfigOf(proxy.site));
