Let partial frames fall on the clients that hold them, and answer the skipped request

Cause: every connection compared the total of all clients' partial frames with the limit after its own read, and ended its own reading when the total was too high. With a request open, its later input was read and dropped whole. The bytes that a cut connection held stayed in the total until its last response. A request written for over 2 s beside an open one was dropped in the same way. Besides, assigning an empty std::string keeps the buffer, so that buffers taken for released never were.

Change: FrameServer releases the input of the connection with at least an equal part of the memory whose frame has been partial for longest. Where requests are open, FrameReader skips the rest of the frame and the request is rejected on its own stream once it is whole. Buffers grow no further than their frame, count by their capacity and are released by a swap. A partial frame has no time limit while requests are open.

--- a/src/codec/frame.cpp
+++ b/src/codec/frame.cpp
@@ -1,5 +1,7 @@
 #include "codec/frame.h"
 
+#include <algorithm>
+
 namespace lemoncroft::codec {
 namespace {
 
@@ -41,6 +43,7 @@
 }  // namespace
 
 FrameReader::Result FrameReader::Next(std::string_view buffer, Frame& frame) {
+  if (skips_frame_) return SkipBytes(buffer, frame);
   const std::string_view rest = buffer.substr(read_bytes_);
   if (rest.size() < kLengthBytes) return Result::kNeedMore;
   const std::size_t length = ReadLittleEndian(rest.substr(0, kLengthBytes));
@@ -59,6 +62,34 @@
   read_bytes_ = 0;
 }
 
+std::optional<std::size_t> FrameReader::MissingBytes(std::string_view buffer) const {
+  if (skips_frame_) return bytes_to_skip_;
+  if (buffer.size() < kLengthBytes) return std::nullopt;
+  const std::size_t frame_bytes = kLengthBytes + ReadLittleEndian(buffer.substr(0, kLengthBytes));
+  return frame_bytes > buffer.size() ? frame_bytes - buffer.size() : 0;
+}
+
+bool FrameReader::SkipFrame(std::string& buffer) {
+  if (skips_frame_ || buffer.size() < kPayloadOffset) return false;
+  bytes_to_skip_ = *MissingBytes(buffer);
+  skips_frame_ = true;
+  const std::string_view header(buffer);
+  skipped_frame_.type = static_cast<std::uint8_t>(header[kTypeOffset]);
+  skipped_frame_.stream = ReadLittleEndian(header.substr(kStreamOffset, kStreamBytes));
+  std::string().swap(buffer);
+  return true;
+}
+
+FrameReader::Result FrameReader::SkipBytes(std::string_view buffer, Frame& frame) {
+  const std::size_t bytes = std::min(bytes_to_skip_, buffer.size() - read_bytes_);
+  read_bytes_ += bytes;
+  bytes_to_skip_ -= bytes;
+  if (bytes_to_skip_ > 0) return Result::kNeedMore;
+  skips_frame_ = false;
+  frame = skipped_frame_;
+  return Result::kSkippedFrame;
+}
+
 std::string_view Fields::Get(std::string_view name) const {
   for (const auto& [field, value] : fields) {
     if (field == name) return value;
--- a/src/codec/frame.h
+++ b/src/codec/frame.h
@@ -46,16 +46,32 @@
   enum class Result {
     kFrame,
     kNeedMore,
-    kBadLength,  // the length is out of bounds; the rest of the buffer can't be read
+    kSkippedFrame,  // the end of a frame that was skipped; `frame` has no payload
+    kBadLength,     // the length is out of bounds; the rest of the buffer can't be read
   };
   // Reads the next frame. On kFrame, `frame` refers to `buffer` and is valid until Compact is called or the
   // buffer changes.
   Result Next(std::string_view buffer, Frame& frame);
-  // Erases the frames that have been read from `buffer`.
+  // Erases the bytes that have been read from `buffer`.
   void Compact(std::string& buffer);
 
+  // Returns the number of bytes that the frame at the front of a compacted buffer still lacks, or nothing
+  // while its length hasn't arrived.
+  std::optional<std::size_t> MissingBytes(std::string_view buffer) const;
+  // Drops what has arrived of the frame at the front of a compacted buffer, and all that follows of it. Next
+  // returns kSkippedFrame once the frame has ended. Returns false, and does nothing, if the frame's type and
+  // stream haven't arrived.
+  bool SkipFrame(std::string& buffer);
+  bool skips_frame() const { return skips_frame_; }
+
  private:
+  // Takes what `buffer` holds of the frame that is skipped.
+  Result SkipBytes(std::string_view buffer, Frame& frame);
+
   std::size_t read_bytes_ = 0;
+  bool skips_frame_ = false;
+  std::size_t bytes_to_skip_ = 0;
+  Frame skipped_frame_;  // without its payload
 };
 
 // Field names and their values.
--- a/src/frontend/client_connection.cpp
+++ b/src/frontend/client_connection.cpp
@@ -23,11 +23,11 @@
 Task<> ClientConnection::Serve() {
   context_.loop.Spawn(WriteOutput(shared_from_this()));
   co_await ReadFrames();
+  std::string().swap(input_);  // an assignment would keep the buffer
+  AccountInput();
   // Open requests still get their responses, unless the client has disconnected.
   if (!peer_closed_ && !aborted_ && !open_streams_.empty()) co_await DiscardInput();
   CancelOpenRequests();
-  input_ = std::string();
-  AccountInput();
   output_closed_ = true;
   output_appended_.Notify();
   while (!aborted_ && !IsFlushed()) {  // WriteOutput aborts if the client stops reading
--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -19,6 +19,7 @@
 
 #include <cstddef>
 #include <cstdint>
+#include <functional>
 #include <memory>
 #include <string>
 #include <string_view>
@@ -37,7 +38,7 @@
   // Of responses to one client that have not been handed to the socket yet.
   std::size_t max_unread_bytes = std::size_t{4} << 20;
   std::size_t max_total_unread_bytes = std::size_t{32} << 20;    // of all clients
-  std::size_t max_total_unparsed_bytes = std::size_t{48} << 20;  // of incomplete frames of all clients
+  std::size_t max_total_unparsed_bytes = std::size_t{48} << 20;  // of input buffers of all clients
 };
 
 // State that all connections of a server share.
@@ -48,7 +49,9 @@
   metrics::Counters& counters;
   ClientLimits limits;
   std::size_t total_unread_bytes = 0;    // being written, not yet taken by the kernel
-  std::size_t total_unparsed_bytes = 0;  // read, not yet parsed
+  std::size_t total_unparsed_bytes = 0;  // of input buffers
+  // Called when the total of unparsed bytes exceeds its limit, to release input buffers.
+  std::function<void()> reclaim_input;
   bool is_ready = false;
   bool is_draining = false;
   bool sends_wait_notices = false;
@@ -70,6 +73,9 @@
   // Begins to close the connection. Returns false, and does nothing, if there is an open request, output to
   // write or unread input, or if the output has been closed.
   bool CloseIfIdle();
+  // Releases the input buffer. The rest of a partial frame is skipped, and the request in it is rejected when
+  // the frame has ended; a connection without open requests is closed instead.
+  void ReleaseInput();
   // Ends a lingering close early.
   void StopLingering() { stop_lingering_.Cancel(); }
 
@@ -79,7 +85,10 @@
   // Returns true if there is no open request and no output to write, and the connection isn't closing.
   bool IsIdle() const;
   bool HasUnreadInput() const { return !socket_->IsIdle(); }
-  bool HasPartialFrame() const { return !input_.empty(); }
+  bool HasPartialFrame() const { return !input_.empty() || frame_reader_.skips_frame(); }
+  std::size_t input_buffer_bytes() const { return accounted_input_bytes_; }
+  // The arrival of the first part of the partial frame; runtime::kNever if there is none.
+  runtime::Time partial_frame_since() const { return partial_frame_since_; }
   // Returns true once the client has sent a valid request or a readiness request.
   bool HasSentRequest() const { return has_sent_request_; }
   bool IsFlushed() const { return output_.empty() && !write_in_progress_; }
@@ -95,17 +104,19 @@
   // Reads and drops the input that follows unparsable input, to notice that the client closes the connection
   // while responses are owed to it.
   runtime::Task<> DiscardInput();
+  // Grows the input buffer for the next read, by no more than the partial frame needs. Returns the maximum
+  // number of bytes to read.
+  std::size_t PrepareRead();
   runtime::Time ReadDeadline() const;
   InputState HandleFrames();
   void HandleFrame(const codec::Frame& frame);
   void HandleRequest(const codec::Frame& frame);
+  void HandleSkippedFrame(const codec::Frame& frame);
   void SubmitRequest(std::uint32_t stream, request::ClientRequest request);
   void HandleCancel(std::uint32_t stream);
   void CancelOpenRequests();
-  void UpdatePartialFrameAge(std::size_t bytes_before);
-  // Updates this connection's part of the total of unparsed bytes. Returns false if the total exceeds its
-  // limit.
-  bool AccountInput();
+  // Updates this connection's part of the total of unparsed bytes.
+  void AccountInput();
   // Counts a request that is answered without being submitted to the broker.
   void CountEnded(std::string_view class_name, metrics::RequestResult result);
 
@@ -123,7 +134,7 @@
   std::unique_ptr<runtime::Socket> socket_;
 
   std::string input_;
-  std::size_t accounted_input_bytes_ = 0;  // of `input_`, in the context's total
+  std::size_t accounted_input_bytes_ = 0;  // of the buffer of `input_`, in the context's total
   codec::FrameReader frame_reader_;
   int input_errors_ = 0;  // frames, requests and read timeouts that were answered with an error
   runtime::Time opened_at_ = runtime::Now(), last_active_at_ = runtime::Now();
--- a/src/frontend/client_connection_input.cpp
+++ b/src/frontend/client_connection_input.cpp
@@ -1,4 +1,5 @@
 #include <algorithm>
+#include <optional>
 #include <utility>
 
 #include "frontend/client_connection.h"
@@ -23,6 +24,8 @@
 constexpr std::size_t kMaxOpenStreams = 32;
 // For a client's first request, and for the rest of a frame that has begun.
 constexpr auto kFrameTimeout = 2000ms;
+// Between two checks whether the responses that keep a connection open have been sent.
+constexpr auto kDeadlineCheckInterval = 100ms;
 // A client that keeps sending invalid frames is read with pauses, so that it doesn't slow down other clients.
 constexpr int kInvalidFramesBeforePause = 8;
 constexpr auto kInvalidFramePause = 25ms;
@@ -33,18 +36,18 @@
   // Read notices a cancellation only while it waits, and it never waits if the client always has more to
   // read.
   while (!stop_reading_.cancelled()) {
-    const IoResult io = co_await socket_->Read(input_, kReadBytes, ReadDeadline(), &stop_reading_);
+    const std::size_t max_bytes = PrepareRead();
+    const IoResult io = co_await socket_->Read(input_, max_bytes, ReadDeadline(), &stop_reading_);
+    if (io == IoResult::kTimeout && Now() < ReadDeadline()) continue;
     if (io == IoResult::kTimeout) co_return SendError(0, kErrorRequestTimeout);
     if (io == IoResult::kCancelled) co_return;
     peer_closed_ = io != IoResult::kOk;
     if (peer_closed_) co_return;
     const int input_errors_before = input_errors_;
-    const std::size_t bytes_before = input_.size();
     if (HandleFrames() == InputState::kUnreadable) co_return;
-    UpdatePartialFrameAge(bytes_before);
-    // Closes the client whose input exceeds the limit on the partial frames of all clients, since the process
-    // would run out of memory otherwise.
-    if (!AccountInput()) co_return SendError(0, kErrorTooMuchUnparsed);
+    AccountInput();
+    // The process would run out of memory if the partial frames of all clients were kept.
+    if (context_.total_unparsed_bytes > context_.limits.max_total_unparsed_bytes) context_.reclaim_input();
     if (input_errors_ > std::max(input_errors_before, kInvalidFramesBeforePause)) {
       co_await context_.loop.Sleep(kInvalidFramePause, &stop_reading_);
     } else {
@@ -53,27 +56,49 @@
   }
 }
 
+std::size_t ClientConnection::PrepareRead() {
+  const std::optional<std::size_t> missing_bytes = frame_reader_.MissingBytes(input_);
+  if (input_.size() < kReadBytes || !missing_bytes) return kReadBytes;
+  const std::size_t max_bytes = std::min(*missing_bytes, kReadBytes);
+  if (input_.capacity() - input_.size() < max_bytes) {
+    // A new string gets the capacity that it reserves; one that grows may get twice as much.
+    std::string grown;
+    grown.reserve(input_.size() + std::min(*missing_bytes, input_.size()));
+    grown.append(input_);
+    input_ = std::move(grown);
+  }
+  return max_bytes;
+}
+
+// While requests are open, a partial frame may take any time: the connection has to stay open for the
+// responses, and a request that is written slowly must get one too.
 runtime::Time ClientConnection::ReadDeadline() const {
   const runtime::Time first_request = has_sent_request_ ? runtime::kNever : opened_at_ + kFrameTimeout;
-  const runtime::Time rest_of_frame =
-      partial_frame_since_ == runtime::kNever ? runtime::kNever : partial_frame_since_ + kFrameTimeout;
+  if (!HasPartialFrame()) return first_request;
+  const bool extends_after_response = !context_.is_draining;
+  const runtime::Time since =
+      extends_after_response ? std::max(partial_frame_since_, last_active_at_) : partial_frame_since_;
+  const runtime::Time rest_of_frame = since + kFrameTimeout;
+  if (!open_streams_.empty()) return std::max(rest_of_frame, Now() + kDeadlineCheckInterval);
   return std::min(first_request, rest_of_frame);
 }
 
-void ClientConnection::UpdatePartialFrameAge(std::size_t bytes_before) {
-  if (input_.empty()) {
-    partial_frame_since_ = runtime::kNever;
-    return;
-  }
-  const bool is_new_frame = partial_frame_since_ == runtime::kNever || input_.size() < bytes_before;
-  if (is_new_frame) partial_frame_since_ = Now();
+void ClientConnection::AccountInput() {
+  if (input_.empty() && input_.capacity() > kMaxIdleInputCapacity)
+    std::string().swap(input_);  // an assignment would keep the buffer
+  const std::size_t buffer_bytes = input_.capacity() > std::string().capacity() ? input_.capacity() : 0;
+  context_.total_unparsed_bytes += buffer_bytes - accounted_input_bytes_;
+  accounted_input_bytes_ = buffer_bytes;
 }
 
-bool ClientConnection::AccountInput() {
-  if (input_.empty() && input_.capacity() > kMaxIdleInputCapacity) input_ = std::string();
-  context_.total_unparsed_bytes += input_.size() - accounted_input_bytes_;
-  accounted_input_bytes_ = input_.size();
-  return context_.total_unparsed_bytes <= context_.limits.max_total_unparsed_bytes;
+void ClientConnection::ReleaseInput() {
+  const bool has_partial_frame = !input_.empty();
+  const bool skips = has_partial_frame && !open_streams_.empty() && frame_reader_.SkipFrame(input_);
+  std::string().swap(input_);  // an assignment would keep the buffer
+  AccountInput();
+  if (!has_partial_frame || skips) return;
+  SendError(0, kErrorTooMuchUnparsed);
+  stop_reading_.Cancel();
 }
 
 Task<> ClientConnection::DiscardInput() {
@@ -95,8 +120,24 @@
 ClientConnection::InputState ClientConnection::HandleFrames() {
   codec::Frame frame;
   FrameReader::Result result = FrameReader::Result::kNeedMore;
-  while ((result = frame_reader_.Next(input_, frame)) == FrameReader::Result::kFrame) HandleFrame(frame);
+  bool frame_ended = false;
+  for (;;) {
+    result = frame_reader_.Next(input_, frame);
+    if (result == FrameReader::Result::kFrame) {
+      HandleFrame(frame);
+    } else if (result == FrameReader::Result::kSkippedFrame) {
+      HandleSkippedFrame(frame);
+    } else {
+      break;
+    }
+    frame_ended = true;
+  }
   frame_reader_.Compact(input_);
+  if (!HasPartialFrame()) {
+    partial_frame_since_ = runtime::kNever;
+  } else if (frame_ended || partial_frame_since_ == runtime::kNever) {
+    partial_frame_since_ = Now();
+  }
   if (result != FrameReader::Result::kBadLength) return InputState::kReadable;
   SendError(0, kErrorInvalidFrameLength);
   return InputState::kUnreadable;
@@ -143,6 +184,13 @@
   SubmitRequest(frame.stream, std::move(*request));
 }
 
+void ClientConnection::HandleSkippedFrame(const codec::Frame& frame) {
+  if (frame.type != codec::kRequestFrame) return HandleFrame(frame);
+  if (frame.stream == 0 || open_streams_.contains(frame.stream)) return SendError(0, kErrorInvalidStream);
+  last_active_at_ = Now();
+  Append(codec::kResponseFrame, frame.stream, codec::kRejectedCode, {}, kErrorTooMuchUnparsed);
+}
+
 void ClientConnection::SubmitRequest(std::uint32_t stream, request::ClientRequest request) {
   open_streams_.emplace(stream, 0);
   const RequestId id = context_.broker.Submit(std::move(request),
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -3,7 +3,9 @@
 #include <spdlog/spdlog.h>
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
+#include <vector>
 
 namespace lemoncroft::frontend {
 
@@ -27,7 +29,9 @@
 FrameServer::FrameServer(runtime::Loop& loop, std::unique_ptr<runtime::Listener> listener,
                          const settings::ActiveSettings& settings, broker::Broker& broker,
                          metrics::Counters& counters, Limits limits)
-    : loop_(loop), context_{loop, settings, broker, counters, limits}, listener_(std::move(listener)) {}
+    : loop_(loop), context_{loop, settings, broker, counters, limits}, listener_(std::move(listener)) {
+  context_.reclaim_input = [this] { ReclaimInput(); };
+}
 
 // ---- Accepting ----
 
@@ -120,6 +124,32 @@
   if (found.longest_idle) found.longest_idle->CloseIfIdle();
 }
 
+void FrameServer::ReclaimInput() {
+  while (context_.total_unparsed_bytes > context_.limits.max_total_unparsed_bytes) {
+    const ConnectionPtr connection = FindInputToReclaim();
+    if (!connection) return;
+    connection->ReleaseInput();
+  }
+}
+
+// Clients that use no more than an equal part of the memory keep it. Among the others, an empty buffer is
+// preferred, and then the frame that has been partial for the longest time.
+FrameServer::ConnectionPtr FrameServer::FindInputToReclaim() const {
+  std::vector<ConnectionPtr> users;
+  for (const auto& weak : connections_) {
+    const ConnectionPtr c = weak.lock();
+    if (c && c->input_buffer_bytes() > 0) users.push_back(c);
+  }
+  if (users.empty()) return nullptr;
+  const std::size_t equal_part = context_.total_unparsed_bytes / users.size();
+  const auto preference = [equal_part](const ConnectionPtr& c) {
+    return std::tuple(c->input_buffer_bytes() < equal_part, c->HasPartialFrame(), c->partial_frame_since());
+  };
+  return *std::min_element(users.begin(), users.end(), [&](const ConnectionPtr& a, const ConnectionPtr& b) {
+    return preference(a) < preference(b);
+  });
+}
+
 void FrameServer::LogRejectedConnection() {
   ++rejected_connections_;
   if (Now() - rejection_logged_at_ < kRejectionLogInterval) return;
