Move waiting requests along when a reload moves their class to the other lane

Cause: AdmissionQueue keeps counts of waiting requests and reserved threads by lane and asks the current settings for a request's lane. A new class can make others light, so that requests left a lane that they had not entered, whose count wrapped around; DispatchNext then took the front of an empty queue. Threads were reserved by one setting and released by another.

Change: Configure assigns waiting and dispatched requests to their lanes anew; a request releases what it reserved.

The new tests of the queue alone failed on the former code (an exception in DispatchNext; 3 and 6 threads in use of 4) and pass, so that neither the reload nor the host is at fault.

--- a/src/admission_queue/admission_queue.cpp
+++ b/src/admission_queue/admission_queue.cpp
@@ -150,8 +150,7 @@
     lane.accuracy.AddSample(r.raw_wait, now - r.submitted_at);
   }
   ++r.running_attempts;
-  running_.Begin({id, attempt, r.tenant, settings_.classes[r.class_id].threads,
-                  settings_.classes[r.class_id].light, r.work, r.charged},
+  running_.Begin({id, attempt, r.tenant, r.threads, settings_.classes[r.class_id].light, r.work, r.charged},
                  now);
   r.charged = Work::zero();
   next_step_ = std::min(next_step_, now);
@@ -179,9 +178,10 @@
   Request& r = it->second;
   if (!r.dispatched) RemoveFromQueue(r);
   if (r.dispatched && !r.started) RemoveFromDispatched(id, r);
-  if (r.dispatched)
-    tenants_[r.tenant].reserved_threads += (r.running_attempts - 1) * settings_.classes[r.class_id].threads;
-  if (r.dispatched) threads_by_lane_[LaneOf(r.class_id)] -= settings_.classes[r.class_id].threads;
+  if (r.dispatched) {
+    tenants_[r.tenant].reserved_threads += (r.running_attempts - 1) * r.threads;
+    threads_by_lane_[LaneOf(r.class_id)] -= r.threads;
+  }
   if (r.charged > Work::zero()) ledger_.Charge(r.tenant, -r.charged);  // it never started
   requests_.erase(it);
   next_step_ = std::min(next_step_, now);
--- a/src/admission_queue/admission_queue.h
+++ b/src/admission_queue/admission_queue.h
@@ -114,10 +114,11 @@
     ClassId class_id = 0;
     bool dispatched = false, started = false, wants_updates = false;
     std::int16_t running_attempts = 0;
+    int threads = 0;                // reserved since its dispatch, whatever the settings say later
     std::uint8_t overtaken_by = 0;  // number of requests that were dispatched later but started earlier
     WorkIndex::Place place = 0;
     Work work{}, charged{};
-    Time submitted_at{}, latest_start{};
+    Time submitted_at{}, dispatched_at{}, latest_start{};
     Duration raw_wait{};    // the estimate at submission, before correction
     Time reported_start{};  // according to the last estimate that was reported
     Time next_review{};
@@ -161,6 +162,10 @@
   void Enqueue(const QueuedRequest& request, Request r, const WaitEstimate& estimate, Time now);
   Reject MakeReject(const QueuedRequest& request, RejectReason reason, Duration retry_after);
   void ApplyBudgets();
+  // Moves the requests of classes that have changed lanes to their new lanes.
+  void AssignLanes();
+  void AssignWaitingToLanes(TenantQueue& tenant) const;
+  void AssignDispatchedToLanes();
 
   // Wait estimation (wait_estimation.cpp).
   Duration RawWait(const Request& r, Time now);
@@ -215,7 +220,7 @@
   std::vector<int> last_priorities_;        // priority of the latest first attempt, by class
   std::vector<double> work_estimate_bias_;  // logarithm of reported over estimated work, by class
   std::size_t waiting_count_ = 0;
-  std::array<int, kLanes> threads_by_lane_{};  // of dispatched requests that are not complete
+  std::array<int, kLanes> threads_by_lane_{};  // reserved by dispatched requests that are not complete
   Time last_update_{}, next_step_{};
   bool started_ = false;  // Step has been called
 };
--- a/src/admission_queue/configuration.cpp
+++ b/src/admission_queue/configuration.cpp
@@ -37,9 +37,44 @@
     tenant.arrival_rates.resize(settings_.classes.size(), RateEstimator(kArrivalRateTimeConstantSeconds));
   }
   settings_.tenants.resize(tenants_.size());
+  AssignLanes();
   SetFleetCores(fleet_cores_, now);
 }
 
+// Whether a class is light may depend on the other classes, so that any change of the settings can move it to
+// the other lane, together with its requests.
+void AdmissionQueue::AssignLanes() {
+  for (TenantQueue& tenant : tenants_) AssignWaitingToLanes(tenant);
+  AssignDispatchedToLanes();
+}
+
+void AdmissionQueue::AssignWaitingToLanes(TenantQueue& tenant) const {
+  tenant.waiting_work = {};
+  tenant.waiting_count = {};
+  for (ClassId k = 0; k < tenant.class_queues.size(); ++k) {
+    tenant.waiting_work[LaneOf(k)] += tenant.class_queues[k].total();
+    tenant.waiting_count[LaneOf(k)] += tenant.class_queues[k].size();
+  }
+}
+
+void AdmissionQueue::AssignDispatchedToLanes() {
+  threads_by_lane_ = {};
+  for (const auto& [id, request] : requests_) {
+    if (request.dispatched) threads_by_lane_[LaneOf(request.class_id)] += request.threads;
+  }
+  std::vector<RequestId> dispatched;
+  for (LaneState& lane : lanes_) {
+    dispatched.insert(dispatched.end(), lane.dispatched.begin(), lane.dispatched.end());
+    lane.dispatched.clear();
+  }
+  std::stable_sort(dispatched.begin(), dispatched.end(), [this](RequestId a, RequestId b) {
+    return requests_.at(a).dispatched_at < requests_.at(b).dispatched_at;
+  });
+  for (const RequestId id : dispatched) {
+    lanes_[LaneOf(requests_.at(id).class_id)].dispatched.push_back(id);
+  }
+}
+
 void AdmissionQueue::SetFleetCores(double cores, Time now) {
   fleet_cores_ = std::max(0.0, cores);
   ApplyBudgets();
--- a/src/admission_queue/dispatch.cpp
+++ b/src/admission_queue/dispatch.cpp
@@ -98,12 +98,14 @@
   Request& r = requests_.at(id);
   RemoveFromQueue(r);
   r.dispatched = true;
+  r.dispatched_at = now;
+  r.threads = settings_.classes[class_id].threads;
   r.charged = r.work;
   ledger_.Charge(r.tenant, r.work);
   ++tenant.dispatched;
-  tenant.reserved_threads += settings_.classes[class_id].threads;
+  tenant.reserved_threads += r.threads;
   state.dispatched.push_back(id);
-  threads_by_lane_[lane] += settings_.classes[class_id].threads;
+  threads_by_lane_[lane] += r.threads;
   if (lane == kHeavy) {
     state.next_dispatch_at =
         std::max(state.next_dispatch_at, now - kMaxPacingCredit) + DispatchInterval(lane, r.work);
--- a/tests/admission_queue_test.cpp
+++ b/tests/admission_queue_test.cpp
@@ -428,6 +428,60 @@
   EXPECT_EQ(setup.queue.open_requests(), 0u);
 }
 
+// Guards against a crash and against requests that are never answered, after a change of the settings that
+// moves a class to the other lane while its requests wait and run.
+TEST(AdmissionQueue, ClassChangesLane_WaitingAndRunningRequestsRemain) {
+  for (const bool light_first : {false, true}) {
+    Settings settings = QueueWithFleet::Tenants({20, 20});
+    settings.classes[1].light = light_first;
+    QueueWithFleet setup(settings);
+    for (int i = 0; i < 200; ++i) setup.Submit(i % 2, static_cast<ClassId>(i % 3), 0.5, 60);
+    setup.Run(1);
+    EXPECT_GT(setup.queue.waiting(), 50u);
+    settings.classes[1].light = !light_first;
+    setup.queue.Configure(settings, At(setup.now));
+    setup.Run(30);
+    for (const auto& [id, q] : setup.queries) EXPECT_EQ(q.completions, 1) << id;
+    EXPECT_TRUE(setup.rejected.empty());
+    EXPECT_EQ(setup.queue.waiting(), 0u);
+    EXPECT_EQ(setup.queue.open_requests(), 0u);
+    for (const auto& tenant : setup.queue.Describe(At(setup.now)).tenants) {
+      EXPECT_EQ(tenant.waiting_work, Work::zero());
+      EXPECT_EQ(tenant.running_threads, 0);
+    }
+  }
+}
+
+// Guards against threads that stay reserved for ever, or are released twice, after the number of threads of a
+// class changes while its requests run: the limit of one thread must hold for later requests.
+TEST(AdmissionQueue, ThreadsOfClassChange_ReservedThreadsAreReleased) {
+  for (const int later_threads : {1, 4}) {
+    Settings settings = QueueWithFleet::Tenants({20});
+    settings.tenants[0].max_threads = 4;
+    AdmissionQueue queue(settings);
+    queue.SetFleetCores(20, At(0));
+    std::vector<Decision> out;
+    queue.Submit({1, 0, 1, 2s, At(60)}, At(0));
+    queue.Step(At(0), out);
+    queue.OnAttemptStarted(1, 0, 1, At(0));
+    settings.classes[1].threads = later_threads;
+    queue.Configure(settings, At(0.1));
+    queue.OnAttemptEnded(1, 0, 2s, true, At(1));
+    queue.OnRequestCompleted(1, At(1));
+    for (RequestId id = 2; id <= 9; ++id) queue.Submit({id, 0, 0, 100ms, At(60)}, At(1));
+    int started = 0;
+    for (int step = 0; step < 10; ++step) {
+      out.clear();
+      queue.Step(At(1.1 + step), out);
+      for (const Decision& decision : out) {
+        queue.OnAttemptStarted(std::get<Dispatch>(decision).id, 0, 1, At(1.1 + step));
+        ++started;
+      }
+    }
+    EXPECT_EQ(started, 4) << "the maximum number of threads of the tenant";
+  }
+}
+
 // The final charge must equal the work that ran, regardless of rejected, cancelled and retried attempts and
 // of an end that is reported twice.
 TEST(AdmissionQueue, AttemptsRejectedCancelledAndRetried_WorkIsChargedOnce) {
