Remove a pending late request from the group that it is in

What a caller would see: after a settings change of late_weight_share while a late request is pending, the end of that request leaves its id behind; the next dispatch throws std::out_of_range, and the module's step is lost.

Cause: RemovePending computed the request's group from the current settings, not from those under which it was added.

Change: the request remembers its group.

Evidence: ApplySettings.WeightOfLateRequestsChanges_PendingLateRequestIsRemoved threw on the former code and passes.

--- a/src/decision/request_state.h
+++ b/src/decision/request_state.h
@@ -5,6 +5,7 @@
 #include <vector>
 
 #include "decision/limits/sent_load.h"
+#include "decision/pending_requests.h"
 #include "lemoncroft/gateway.h"
 
 namespace lemoncroft::decision {
@@ -19,7 +20,8 @@
 struct RequestState {
   Request spec;  // the request as received
   RequestPhase phase = RequestPhase::kPending;
-  Nanos objective_at = 0;  // end of its latency objective
+  PendingRequests::GroupKey pending_group;  // in which it was last pending
+  Nanos objective_at = 0;                   // end of its latency objective
   Nanos deadline = 0;
   double work = 0;  // expected work, in thread seconds
   double threads = 1;
--- a/src/decision/scheduler_requests.cpp
+++ b/src/decision/scheduler_requests.cpp
@@ -56,13 +56,15 @@
 
 void Scheduler::AddPending(RequestState& request) {
   request.phase = RequestPhase::kPending;
-  pending_.Add({CurrentPriorityWeight(request), request.spec.class_id}, request.work, request.spec.id);
+  request.pending_group = {CurrentPriorityWeight(request), request.spec.class_id};
+  pending_.Add(request.pending_group, request.work, request.spec.id);
   const Nanos retry_deadline = request.attempts > 0 ? RetryDeadline(request) : kNoLimit;
   ScheduleCheck(request, std::min(LatestStart(request), retry_deadline));
 }
 
+// The settings, and with them the priority weight, may have changed since the request was added.
 void Scheduler::RemovePending(const RequestState& request) {
-  pending_.Remove({CurrentPriorityWeight(request), request.spec.class_id}, request.work, request.spec.id);
+  pending_.Remove(request.pending_group, request.work, request.spec.id);
 }
 
 double Scheduler::CurrentPriorityWeight(const RequestState& request) const {
--- a/tests/gateway_settings_test.cpp
+++ b/tests/gateway_settings_test.cpp
@@ -56,6 +56,29 @@
   EXPECT_EQ(host.cancels, (std::set<RequestId>{1, 2}));
 }
 
+// Guards against an exception of the module: a late request was looked for in the group that the new settings
+// name, and stayed in its former one after its end.
+TEST(ApplySettings, WeightOfLateRequestsChanges_PendingLateRequestIsRemoved) {
+  Settings before = DefaultSettings();
+  before.classes[0].late_weight_share = 0.5;
+  before.classes[0].latency_objective_stretch = 0;
+  Host host(before);
+  host.DeliverList({ReadyEngine(1)});
+  host.Step({MakeRequest(2)});  // so that the other one isn't sent to explore
+  EngineEntry draining = ReadyEngine(1);
+  draining.readiness = Readiness::kDraining;
+  host.DeliverList({draining}, ListKind::kChange);
+  host.Step({MakeRequest(1, 0, 4 * kSecond, 900 * kMs)});
+  host.RunUntil(host.now + 200 * kMs);
+  ASSERT_TRUE(host.rejected.empty()) << "it waits although it is late";
+  Settings after = before;
+  after.classes[0].late_weight_share = 0.25;
+  host.Step({SettingsChanged{std::make_shared<const Settings>(after), {0}}});
+  host.Step({RequestCancelled{1}});
+  EXPECT_NO_THROW(host.DeliverList({ReadyEngine(1)}, ListKind::kChange));
+  EXPECT_EQ(host.sends.size(), 1u) << "only the other one";
+}
+
 // A retry may still be waiting for its connection when its class becomes unsafe.
 TEST(ApplySettings, Retry_NoLongerAllowed_IsCancelled) {
   Settings before = DefaultSettings();
