End an exclusive attempt only when its statement has arrived or never will

Cause: the attempt ended 2.1 s after its statement was written, since an engine abandons a query that nobody polls for 2 s. That time begins with the arrival. The connection was closed in order, which leaves the statement to the kernel. A reset alone doesn't call back what the engine's host has acknowledged: a program that resets after sending 5 bytes still sees them read.

Change: the attempt keeps the silent connection and ends when a response to the statement has begun, the connection has failed, the host doesn't have all of it at a reset, or the engine answers another call but not the statement for kStatusTimeout more; at the latest when its request ends. Statements that are given up are reset. A silent statement of an exclusive attempt closes the idle connections to its engine.

StalledEngineTest: two of three tests fail with the wait taken out (the attempt ended 0.3 s before the engine started the statement) and pass.

--- a/src/backend/attempt.h
+++ b/src/backend/attempt.h
@@ -25,6 +25,9 @@
   // The attempt must not run concurrently with another attempt of its request, or with the next request that
   // has the same ordering key. It therefore ends only when the engine certainly no longer runs it.
   bool exclusive = false;
+  // The time after which no attempt of the request follows. An exclusive attempt whose statement may still
+  // arrive at the engine ends then.
+  runtime::Time last_of_request_by{};
 };
 
 struct Result {
--- a/src/backend/engines.cpp
+++ b/src/backend/engines.cpp
@@ -68,12 +68,16 @@
   const Attempt& attempt;
   runtime::Cancellation& cancel;
   PooledConnection connection;
+  // The connection of a statement without a response, after the query has got another one.
+  PooledConnection statement_connection;
   codec::HttpResponse response;  // the newest
   Result result;
-  bool lost_response = false;  // a response was lost or damaged: the engine may or may not know the query
-  bool done = false;           // the engine has reported that the query is done
+  bool lost_response = false;     // a response was lost or damaged: the engine may or may not know the query
+  bool done = false;              // the engine has reported that the query is done
+  bool may_arrive_later = false;  // nothing shows that the engine has received the statement
   // When the submission began or failed, or the newest poll ended. kEngineAbandonTimeout counts from here.
   runtime::Time last_call_time{};
+  runtime::Time statement_sent_at{};
 
   const std::string& request_id() const { return attempt.forwarded->request_id; }
   // Returns the end of `timeout` from now, or the attempt's deadline if that is earlier.
@@ -87,13 +91,19 @@
 };
 
 Task<Result> Engines::Run(const Attempt& attempt, runtime::Cancellation& cancel) {
-  Query query{.attempt = attempt, .cancel = cancel, .connection = {}, .response = {}, .result = {}};
+  Query query{.attempt = attempt,
+              .cancel = cancel,
+              .connection = {},
+              .statement_connection = {},
+              .response = {},
+              .result = {}};
   Outcome outcome = co_await Submit(query);
   if (outcome == Outcome::kOk) outcome = co_await AwaitCompletion(query);
   query.done = outcome == Outcome::kOk;
   if (outcome == Outcome::kOk) outcome = co_await FetchPages(query);
   query.result.outcome = outcome;
   co_await CancelIfRunning(query, outcome);
+  if (query.may_arrive_later) AbandonStatement(query);
   if (query.connection && query.connection->pending())
     loop_.Spawn(DiscardResponse(std::move(query.connection)));
   co_return std::move(query.result);
@@ -144,10 +154,14 @@
     }
     if (sent == IoResult::kOk || query.connection->sent_any_bytes()) {
       query.last_call_time = Now();
+      const bool still_open = sent == IoResult::kTimeout || sent == IoResult::kCancelled;
+      query.may_arrive_later = still_open && !query.connection->response_has_begun();
       if (sent == IoResult::kCancelled) co_return Outcome::kCancelled;
       // The response is damaged, late or lost, but the engine may execute the statement: poll for the query.
       query.lost_response = true;
-      query.connection = PooledConnection();
+      query.statement_connection = std::move(query.connection);
+      // Other idle connections may be as silent. A new one shows whether the engine can be reached.
+      if (sent == IoResult::kTimeout && attempt.exclusive) pool_.CloseIdle(attempt.engine);
       co_return co_await Poll(query, 0);
     }
     if (sent == IoResult::kCancelled) co_return Outcome::kNotSent;
@@ -166,7 +180,7 @@
   const codec::HttpRequest call = MakeSubmitCall(query.attempt, remaining_time);
   const runtime::Time respond_by = query.DeadlineAfter(kStatusTimeout);
   const runtime::Time send_by = std::min(respond_by, query.attempt.not_after);
-  query.last_call_time = Now();
+  query.last_call_time = query.statement_sent_at = Now();
   const IoResult sent = co_await query.connection->Send(call, send_by, &query.cancel);
   if (sent != IoResult::kOk) co_return sent;
   counters_.CountAttempt();
@@ -205,6 +219,7 @@
     const bool complete = called == IoResult::kOk;
     if (complete && (part == ResponsePart::kHead || query.HasValidResponse(page))) {
       StoreLoadReport(query);
+      if (QueryStatusOf(query.response) != QueryStatus::kErrorOrUnknown) query.may_arrive_later = false;
       co_return Outcome::kOk;
     }
     if (called == IoResult::kCancelled) co_return Outcome::kCancelled;
@@ -278,6 +293,7 @@
 Task<> Engines::DiscardResponse(PooledConnection connection) {
   codec::HttpResponse ignored;
   co_await connection->Receive(Now() + kLateResponseTimeout, nullptr, ignored);
+  if (connection->pending()) connection->ResetOnClose();
 }
 
 Task<IoResult> Engines::SendCommand(EngineId engine, QueryCommand command) {
@@ -297,7 +313,10 @@
 // An engine that responds has cancelled the query. Any other engine, even one that refuses connections, may
 // continue to run the query until it abandons it because of missing polls.
 Task<> Engines::CancelAndConfirm(Query& query) {
+  if (query.may_arrive_later && !query.statement_connection)
+    query.statement_connection = std::move(query.connection);
   query.connection = PooledConnection();
+  if (query.may_arrive_later) co_await AwaitArrival(query);
   const runtime::Time abandoned_by = query.last_call_time + kEngineAbandonTimeout + kEngineAbandonMargin;
   runtime::Duration backoff = kMinCancelBackoff;
   while (Now() < abandoned_by) {
@@ -308,6 +327,38 @@
   }
 }
 
+// An engine that is cut off or stalled may start the statement as soon as it goes on, however long that
+// takes. The statement has arrived once any part of a response to it has. It doesn't arrive any more once its
+// connection has failed, or if the engine's host doesn't have all of it when the connection is reset. An
+// engine that responds to other calls also responds within kStatusTimeout to a statement that it has.
+Task<> Engines::AwaitArrival(Query& query) {
+  const runtime::Time end = query.attempt.last_of_request_by;
+  http::Connection& connection = *query.statement_connection;
+  codec::HttpResponse ignored;
+  runtime::Duration backoff = kMinCancelBackoff;
+  while (Now() < end) {
+    // Until kStatusTimeout has passed, an acknowledgement may just be on its way.
+    const bool undelivered =
+        !connection.HasDeliveredRequest() && Now() >= query.statement_sent_at + kStatusTimeout;
+    query.may_arrive_later = query.may_arrive_later && !undelivered;
+    if (!query.may_arrive_later) break;
+    const IoResult io = co_await SendCommand(query.attempt.engine, MakeCancelCommand(query.request_id()));
+    const bool reachable = io == IoResult::kOk;
+    const runtime::Time receive_by = reachable ? Now() + kStatusTimeout : std::min(end, Now() + backoff);
+    const IoResult received = co_await connection.Receive(receive_by, nullptr, ignored);
+    query.may_arrive_later = !reachable && received == IoResult::kTimeout && !connection.response_has_begun();
+    backoff = std::min<runtime::Duration>(2 * backoff, kMaxCancelBackoff);
+  }
+  if (!query.may_arrive_later) query.last_call_time = Now();
+  AbandonStatement(query);
+}
+
+void Engines::AbandonStatement(Query& query) {
+  if (!query.statement_connection) return;
+  query.statement_connection->ResetOnClose();
+  query.statement_connection = PooledConnection();
+}
+
 void Engines::UpdatePriority(EngineId engine, const std::string& request_id, int priority) {
   loop_.Spawn(TrySendCommand(engine, MakeSetPriorityCommand(request_id, priority)));
 }
--- a/src/backend/engines.h
+++ b/src/backend/engines.h
@@ -84,8 +84,15 @@
   runtime::Task<runtime::IoResult> Reconnect(Query& query);
   // Cancels the query of an attempt that ended with `outcome`, if it may still be running.
   runtime::Task<> CancelIfRunning(Query& query, Outcome outcome);
-  // Cancels a query and returns when it is certain that it no longer runs.
+  // Cancels a query and returns when it is certain that it no longer runs, and that its statement doesn't
+  // arrive later.
   runtime::Task<> CancelAndConfirm(Query& query);
+  // Returns when the query's statement has arrived or will certainly not arrive any more, or when no attempt
+  // of the request can follow.
+  runtime::Task<> AwaitArrival(Query& query);
+  // Closes the connection on which the statement was sent, without leaving the statement behind for the
+  // engine.
+  static void AbandonStatement(Query& query);
   // Checks the lease immediately before the send, and records the send if it is permitted. An earlier check
   // is not enough: since then, this process may have been stopped for longer than its lease is valid.
   bool LeasePermits(const Attempt& attempt) const;
--- a/src/broker/attempts.cpp
+++ b/src/broker/attempts.cpp
@@ -45,6 +45,7 @@
   attempt.grant_mb = request->grant.grant_mb;
   attempt.priority = request->grant.priority;
   attempt.exclusive = !site_->module.may_hedge || request->client_request.ordering_key != 0;
+  attempt.last_of_request_by = request->ResponseDeadline();
   attempt.may_have_run = may_have_run;
   if (ordering_key_turns_ != nullptr) ordering_key_turns_->OnSent(request->id);
   loop_.Spawn(RunAttempt(request, number, attempt));
--- a/src/http/connection.cpp
+++ b/src/http/connection.cpp
@@ -27,7 +27,7 @@
 
 runtime::Task<IoResult> Connection::Send(const codec::HttpRequest& request, runtime::Time deadline,
                                          runtime::Cancellation* cancel) {
-  sent_any_bytes_ = false;
+  sent_any_bytes_ = sent_whole_ = response_has_begun_ = false;
   auto bytes = codec::WriteHead(request, host_);
   if (!bytes) co_return IoResult::kClosed;
   bytes->append(request.body);
@@ -36,6 +36,7 @@
   std::size_t written = 0;
   const IoResult io = co_await socket_->Write(*bytes, written, deadline, cancel);
   sent_any_bytes_ = written > 0;
+  sent_whole_ = written == bytes->size();
   if (io != IoResult::kOk) keep_alive_ = false;  // no request can follow an incomplete one
   co_return io;
 }
@@ -71,6 +72,7 @@
       const runtime::Time read_deadline =
           has_begun ? std::min(complete_by, runtime::Now() + kStallTimeout) : begin_by;
       const IoResult io = co_await socket_->Read(received_, kMaxReadBytes, read_deadline, cancel);
+      if (io == IoResult::kOk) response_has_begun_ = true;
       if (io == IoResult::kOk) continue;
       if (io == IoResult::kReset) pending_ = keep_alive_ = false;
       if (io != IoResult::kClosed) co_return io;
--- a/src/http/connection.h
+++ b/src/http/connection.h
@@ -50,6 +50,13 @@
   bool pending() const { return pending_; }
   // Returns true if the last Send passed any byte to the kernel.
   bool sent_any_bytes() const { return sent_any_bytes_; }
+  // Returns true if the peer's host has received the last request whole. Its process may read it at any later
+  // time, even after this connection has been closed or reset.
+  bool HasDeliveredRequest() const { return sent_whole_ && socket_->IsDelivered(); }
+  // Returns true if any byte of the response to the last request has arrived.
+  bool response_has_begun() const { return response_has_begun_; }
+  // Makes the close reset the connection, so that no part of a pending request is delivered after it.
+  void ResetOnClose() { socket_->ResetOnClose(); }
   // Returns true if the last response is followed by bytes that can't begin another one. The length of the
   // last response may have been wrong.
   bool HasExcessBytes() const;
@@ -69,6 +76,8 @@
   std::string received_;  // not parsed yet
   bool pending_ = false;
   bool sent_any_bytes_ = false;
+  bool sent_whole_ = false;  // handed to the kernel
+  bool response_has_begun_ = false;
   bool keep_alive_ = true;
 };
 
--- a/src/runtime/socket.cpp
+++ b/src/runtime/socket.cpp
@@ -2,7 +2,9 @@
 
 #include <arpa/inet.h>
 #include <fcntl.h>
+#include <linux/sockios.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 #include <algorithm>
@@ -130,6 +132,16 @@
 
 void Socket::ShutdownWrite() { ::shutdown(fd_.get(), SHUT_WR); }
 
+void Socket::ResetOnClose() {
+  const linger option{1, 0};
+  ::setsockopt(fd_.get(), SOL_SOCKET, SO_LINGER, &option, sizeof option);
+}
+
+bool Socket::IsDelivered() const {
+  int unacknowledged_bytes = 0;
+  return ::ioctl(fd_.get(), SIOCOUTQ, &unacknowledged_bytes) == 0 && unacknowledged_bytes == 0;
+}
+
 bool Socket::IsIdle() const {
   char byte = 0;
   return ::recv(fd_.get(), &byte, 1, MSG_PEEK | MSG_DONTWAIT) < 0 && WouldBlock(errno);
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -56,6 +56,11 @@
                        Cancellation* cancel = nullptr);
   // Closes the write side: the peer reads the end of the stream after the last byte written.
   void ShutdownWrite();
+  // Makes the destruction of this object reset the connection, which drops all bytes that the peer's host
+  // hasn't acknowledged.
+  void ResetOnClose();
+  // Returns true if the peer's host has acknowledged all bytes written. Its process may not have read them.
+  bool IsDelivered() const;
   // Returns true if there is no unread input and the peer has not closed: the connection is idle and usable.
   bool IsIdle() const;
   int fd() const { return fd_.get(); }
--- a/tests/backend_test.cpp
+++ b/tests/backend_test.cpp
@@ -75,6 +75,8 @@
 
 class EnginesTest : public testing::Test {
  protected:
+  static constexpr auto kConnectTimeout = 2500ms;
+
   void ListEngine(const std::string& host_port) {
     directory_.Apply(
         codec::Json::Parse(
@@ -105,7 +107,8 @@
   settings::ActiveSettings site_{settings::Site()};
   discovery::EndpointDirectory directory_{site_};
   metrics::Counters counters_;
-  backend::Engines engines_{loop_, directory_, backend::ConnectionPool::Limits{16, 5s}, 2500ms, counters_};
+  backend::Engines engines_{loop_, directory_, backend::ConnectionPool::Limits{16, 5s}, kConnectTimeout,
+                            counters_};
   request::ForwardedFields forwarded_;
   EngineId engine_ = 0;
   runtime::Cancellation cancel_;
@@ -417,6 +420,79 @@
   EXPECT_EQ(result_.rows, "next\ty\tz\n");
 }
 
+// An engine that stalls: until `resume`, it reads nothing and responds to nothing. Then it starts the
+// statement that it has been sent, and responds to all calls.
+class StalledEngine {
+ public:
+  StalledEngine(runtime::Loop& loop, runtime::Duration stall)
+      : resumes_at(Now() + stall),
+        engine_(loop, [this, &loop](const std::string& call, runtime::Socket& socket) {
+          return Respond(loop, call, socket);
+        }) {}
+  std::string host_port() const { return engine_.host_port(); }
+
+  runtime::Time resumes_at;
+  runtime::Time started_at = runtime::kNever, cancelled_at = runtime::kNever;  // of the query
+
+ private:
+  runtime::Task<> Respond(runtime::Loop& loop, std::string call, runtime::Socket& socket) {
+    if (Now() < resumes_at) co_await loop.SleepUntil(resumes_at);
+    if (call.starts_with("POST ")) started_at = Now();
+    if (call.starts_with("DELETE ") && started_at != runtime::kNever) cancelled_at = Now();
+    const bool knows_query = call.starts_with("POST ") || started_at != runtime::kNever;
+    if (call.starts_with("DELETE ")) co_return co_await Write(socket, "HTTP/1.1 204 X\r\n\r\n");
+    const char* status = knows_query ? "202" : "500";
+    co_await Write(socket, std::string("HTTP/1.1 ") + status + " X\r\nContent-Length: 0\r\n\r\n");
+  }
+
+  FakeEngine engine_;
+};
+
+class StalledEngineTest : public EnginesTest {
+ protected:
+  backend::Attempt MakeExclusiveAttempt(runtime::Duration last_of_request) {
+    backend::Attempt attempt = MakeAttempt(400ms);
+    attempt.exclusive = true;
+    attempt.last_of_request_by = Now() + last_of_request;
+    return attempt;
+  }
+};
+
+// Guards against two attempts at one time: the engine starts the statement after a stall that is longer than
+// the time after which it abandons a query. The exclusive attempt must not end before that query is
+// cancelled.
+TEST_F(StalledEngineTest, ExclusiveStatement_StartedAfterStall_IsCancelledBeforeAttemptEnds) {
+  StalledEngine engine(loop_, 3200ms);
+  ListEngine(engine.host_port());
+  RunToEnd(MakeExclusiveAttempt(8s));
+  EXPECT_GE(Now(), engine.resumes_at);
+  EXPECT_LT(Now(), engine.resumes_at + 1500ms);
+  ASSERT_NE(engine.started_at, runtime::kNever);
+  EXPECT_NE(engine.cancelled_at, runtime::kNever);
+  EXPECT_EQ(result_.outcome, Outcome::kTimeout);
+}
+
+// The attempt waits no longer than another one of its request could follow.
+TEST_F(StalledEngineTest, ExclusiveStatement_StallOutlastsRequest_AttemptEndsWithRequest) {
+  StalledEngine engine(loop_, 20s);
+  ListEngine(engine.host_port());
+  const backend::Attempt attempt = MakeExclusiveAttempt(3200ms);
+  RunToEnd(attempt);
+  EXPECT_GE(Now(), attempt.last_of_request_by);
+  EXPECT_LT(Now(), attempt.last_of_request_by + 3s);
+}
+
+// A statement that the engine's host doesn't have whole can't arrive any more once its connection is reset.
+TEST_F(StalledEngineTest, ExclusiveStatement_NotDelivered_AttemptEndsWhenQueryIsAbandoned) {
+  ListeningSocket listener(ListeningSocket::Backlog::kFree);
+  ListEngine(listener.host_port());
+  forwarded_.statement =
+      std::string(std::size_t{64} << 20, 'x');  // more than the buffers of a connection hold
+  const runtime::Time begin = Now();
+  RunToEnd(MakeExclusiveAttempt(20s));
+  EXPECT_LT(Now() - begin, 400ms + backend::kEngineAbandonTimeout + kConnectTimeout);
+}
+
 // Tests the bytes of the calls to an engine, except for the remaining time of a request.
 class EngineCallTest : public EngineResponseTest {
  protected:
