Drop the unread requests of a client that has closed its connection

Cause: the end of a connection was noticed only behind all unread input, although epoll had reported it.

Change: DescriptorReadiness keeps the report (EPOLLRDHUP, hang-up, error); ClientConnection doesn't parse what it reads after it. No further system call.

--- a/src/frontend/client_connection_input.cpp
+++ b/src/frontend/client_connection_input.cpp
@@ -41,7 +41,8 @@
     if (io == IoResult::kTimeout && Now() < ReadDeadline()) continue;
     if (io == IoResult::kTimeout) co_return SendError(0, kErrorRequestTimeout);
     if (io == IoResult::kCancelled) co_return;
-    peer_closed_ = io != IoResult::kOk;
+    // Nobody waits for the requests of a client that has left, even if they were sent before.
+    peer_closed_ = io != IoResult::kOk || socket_->PeerHasClosed();
     if (peer_closed_) co_return;
     const int input_errors_before = input_errors_;
     if (HandleFrames() == InputState::kUnreadable) co_return;
--- a/src/runtime/loop.cpp
+++ b/src/runtime/loop.cpp
@@ -17,6 +17,7 @@
 void NotifyWaiters(const epoll_event& event) {
   auto* readiness = static_cast<DescriptorReadiness*>(event.data.ptr);
   const bool has_failed = (event.events & (EPOLLERR | EPOLLHUP | EPOLLRDHUP)) != 0;
+  readiness->peer_closed = readiness->peer_closed || has_failed;
   if (has_failed || (event.events & EPOLLIN) != 0) readiness->readable.Notify();
   if (has_failed || (event.events & EPOLLOUT) != 0) readiness->writable.Notify();
 }
--- a/src/runtime/loop.h
+++ b/src/runtime/loop.h
@@ -108,6 +108,7 @@
 // The readiness of a descriptor in the epoll set. Errors and hang-ups also notify both conditions.
 struct DescriptorReadiness {
   ConditionVariable readable, writable;
+  bool peer_closed = false;  // the peer has closed its side, or the connection has failed
 };
 
 class Loop {
--- a/src/runtime/socket.h
+++ b/src/runtime/socket.h
@@ -63,6 +63,9 @@
   bool IsDelivered() const;
   // Returns true if there is no unread input and the peer has not closed: the connection is idle and usable.
   bool IsIdle() const;
+  // Returns true if the loop has noticed that the peer has closed its side, or that the connection has
+  // failed. There may be unread input.
+  bool PeerHasClosed() const { return readiness_.peer_closed; }
   int fd() const { return fd_.get(); }
   Address peer() const;
 
