Let the limit on unread output fall on the clients that don't read

Cause: Append compared the total of all clients with the limit and aborted the connection that it was appending to. Only what was being written was in the total, not what waited behind it, and an aborted client's bytes stayed in it until its write timed out.

Change: all output is counted; FrameServer aborts the client with the most unread output until the total is within its limit. Abort cancels the write in progress.

--- a/src/frontend/client_connection.h
+++ b/src/frontend/client_connection.h
@@ -48,10 +48,12 @@
   broker::Broker& broker;
   metrics::Counters& counters;
   ClientLimits limits;
-  std::size_t total_unread_bytes = 0;    // being written, not yet taken by the kernel
+  std::size_t total_unread_bytes = 0;    // of output that the kernel hasn't taken yet
   std::size_t total_unparsed_bytes = 0;  // of input buffers
   // Called when the total of unparsed bytes exceeds its limit, to release input buffers.
   std::function<void()> reclaim_input;
+  // Called when the total of unread bytes exceeds its limit, to drop clients that leave output unread.
+  std::function<void()> reclaim_output;
   bool is_ready = false;
   bool is_draining = false;
   bool sends_wait_notices = false;
@@ -76,6 +78,9 @@
   // Releases the input buffer. The rest of a partial frame is skipped, and the request in it is rejected when
   // the frame has ended; a connection without open requests is closed instead.
   void ReleaseInput();
+  // Drops the output and stops reading; Serve() then cancels the open requests. For a client that leaves too
+  // much output unread.
+  void Abort();
   // Ends a lingering close early.
   void StopLingering() { stop_lingering_.Cancel(); }
 
@@ -86,6 +91,7 @@
   bool IsIdle() const;
   bool HasUnreadInput() const { return !socket_->IsIdle(); }
   bool HasPartialFrame() const { return !input_.empty() || frame_reader_.skips_frame(); }
+  std::size_t unread_bytes() const { return accounted_output_bytes_; }
   std::size_t input_buffer_bytes() const { return accounted_input_bytes_; }
   // The arrival of the first part of the partial frame; runtime::kNever if there is none.
   runtime::Time partial_frame_since() const { return partial_frame_since_; }
@@ -126,9 +132,8 @@
   void SendError(std::uint32_t stream, std::string_view text);
   void Append(codec::FrameType type, std::uint32_t stream, codec::ResponseCode code,
               const codec::FieldViews& fields = {}, std::string_view body = {});
-  // Drops the output and stops reading; Serve() then cancels the open requests. Called if a write fails or
-  // the client leaves too much output unread.
-  void Abort();
+  // Updates this connection's part of the total of unread bytes.
+  void AccountOutput();
 
   ConnectionContext& context_;
   std::unique_ptr<runtime::Socket> socket_;
@@ -143,7 +148,9 @@
   bool peer_closed_ = false;     // the client no longer waits for responses
   bool discards_input_ = false;  // further input is not parsed
 
-  std::string output_;  // not yet handed to WriteOutput
+  std::string output_;                      // not yet handed to WriteOutput
+  std::string writing_;                     // handed to WriteOutput
+  std::size_t accounted_output_bytes_ = 0;  // of `output_` and `writing_`, in the context's total
   bool write_in_progress_ = false;
   bool output_closed_ = false;  // nothing more is appended
   bool drain_announced_ = false;
@@ -156,6 +163,7 @@
   runtime::Cancellation stop_reading_;
   runtime::Cancellation stop_discarding_;
   runtime::Cancellation stop_lingering_;
+  runtime::Cancellation stop_writing_;
 };
 
 }  // namespace lemoncroft::frontend
--- a/src/frontend/client_connection_output.cpp
+++ b/src/frontend/client_connection_output.cpp
@@ -68,11 +68,16 @@
   if (aborted_ || closing_) return;
   codec::WriteResponse(output_, type, stream, code, fields, body);
   output_appended_.Notify();
+  AccountOutput();
   // Drops clients that leave responses unread, before their buffers exhaust the process's memory.
-  const ClientLimits& limits = context_.limits;
-  const bool too_much_unread = output_.size() > limits.max_unread_bytes;
-  const bool too_much_in_total = output_.size() + context_.total_unread_bytes > limits.max_total_unread_bytes;
-  if (too_much_unread || too_much_in_total) Abort();
+  if (output_.size() > context_.limits.max_unread_bytes) Abort();
+  if (context_.total_unread_bytes > context_.limits.max_total_unread_bytes) context_.reclaim_output();
+}
+
+void ClientConnection::AccountOutput() {
+  const std::size_t bytes = aborted_ ? 0 : output_.size() + writing_.size();
+  context_.total_unread_bytes += bytes - accounted_output_bytes_;
+  accounted_output_bytes_ = bytes;
 }
 
 // Writes all output that was appended within one turn of the loop at once.
@@ -83,13 +88,13 @@
       co_await runtime::Waiter(c.context_.loop, &c.output_appended_, runtime::kNever);
       continue;
     }
-    std::string bytes;
-    bytes.swap(c.output_);
+    c.writing_.swap(c.output_);
     c.write_in_progress_ = true;
-    c.context_.total_unread_bytes += bytes.size();
     std::size_t written = 0;
-    const IoResult io = co_await c.socket_->Write(bytes, written, Now() + kWriteTimeout);
-    c.context_.total_unread_bytes -= bytes.size();
+    const IoResult io =
+        co_await c.socket_->Write(c.writing_, written, Now() + kWriteTimeout, &c.stop_writing_);
+    std::string().swap(c.writing_);
+    c.AccountOutput();
     c.write_in_progress_ = false;
     if (io != IoResult::kOk) c.Abort();
     c.output_flushed_.Notify();
@@ -98,7 +103,9 @@
 
 void ClientConnection::Abort() {
   aborted_ = true;
-  output_.clear();
+  std::string().swap(output_);
+  AccountOutput();
+  stop_writing_.Cancel();
   stop_reading_.Cancel();
   stop_discarding_.Cancel();
   output_appended_.Notify();
--- a/src/frontend/frame_server.cpp
+++ b/src/frontend/frame_server.cpp
@@ -31,6 +31,7 @@
                          metrics::Counters& counters, Limits limits)
     : loop_(loop), context_{loop, settings, broker, counters, limits}, listener_(std::move(listener)) {
   context_.reclaim_input = [this] { ReclaimInput(); };
+  context_.reclaim_output = [this] { ReclaimOutput(); };
 }
 
 // ---- Accepting ----
@@ -124,6 +125,18 @@
   if (found.longest_idle) found.longest_idle->CloseIfIdle();
 }
 
+void FrameServer::ReclaimOutput() {
+  while (context_.total_unread_bytes > context_.limits.max_total_unread_bytes) {
+    ConnectionPtr largest;
+    for (const auto& weak : connections_) {
+      const ConnectionPtr c = weak.lock();
+      if (c && (!largest || c->unread_bytes() > largest->unread_bytes())) largest = c;
+    }
+    if (!largest || largest->unread_bytes() == 0) return;
+    largest->Abort();
+  }
+}
+
 void FrameServer::ReclaimInput() {
   while (context_.total_unparsed_bytes > context_.limits.max_total_unparsed_bytes) {
     const ConnectionPtr connection = FindInputToReclaim();
--- a/src/frontend/frame_server.h
+++ b/src/frontend/frame_server.h
@@ -70,6 +70,8 @@
   std::size_t SpareConnections() const;  // number of connections to free ahead of need
   EvictionCandidates FindEvictionCandidates() const;
   void EvictConnection();
+  // Drops the clients with the most unread output until the total is within its limit.
+  void ReclaimOutput();
   // Releases input buffers until their total is within its limit.
   void ReclaimInput();
   // Returns the connection whose input buffer is to be released next; null if none has any.
