Bound the cache of rankings by what it occupies, not by its pointers alone

With one engine, 300,000 groups occupied 22 MB, which is 73 MB (by calculation) at the bound of 2^20 pointers, of a limit that is often 192 MB.

Cause: the bound counted pointers to engines; an order of one pointer occupies over 70 bytes with its node, vector and allocations.

Change: each order counts 128 bytes beside its pointers. Only when the cache is emptied changes, not what it returns.

--- a/src/decision/subset/ranking_cache.h
+++ b/src/decision/subset/ranking_cache.h
@@ -3,8 +3,8 @@
 // groups and engines change rarely.
 //
 // The result of Rank() depends only on the engines, the key and `allowed`. The cache holds pointers to
-// engines, at most kMaxCachedEntries. The owner calls Clear() whenever an engine is added, is removed or
-// changes its `listed`. The cache is used by one thread.
+// engines and occupies about kMaxCachedBytes at most. The owner calls Clear() whenever an engine is added, is
+// removed or changes its `listed`. The cache is used by one thread.
 #ifndef LEMONCROFT_SUBSET_RANKING_CACHE_H_
 #define LEMONCROFT_SUBSET_RANKING_CACHE_H_
 
@@ -25,11 +25,11 @@
 template <typename Engine>
 class RankingCache {
  public:
-  static constexpr std::size_t kMaxCachedEntries = std::size_t{1} << 20;  // pointers; 8 MB
+  static constexpr std::size_t kMaxCachedBytes = std::size_t{8} << 20;
 
   void Clear() {
     orders_.clear();
-    entries_ = 0;
+    cached_bytes_ = 0;
   }
 
   // Sets the `rank` of each listed engine that is allowed; 0 is the highest hash. Returns the number of these
@@ -42,16 +42,19 @@
     return ranked;
   }
 
-  std::size_t entries() const { return entries_; }
+  std::size_t cached_bytes() const { return cached_bytes_; }
 
  private:
+  // Of each order beside its pointers: its node, its bucket, its vector and what the allocator adds.
+  static constexpr std::size_t kBytesPerOrder = 128;
+
   const std::vector<Engine*>& Ordered(std::map<EngineId, Engine>& engines, std::uint64_t key) {
     const auto cached = orders_.find(key);
     if (cached != orders_.end()) return cached->second;
-    if (entries_ + engines.size() > kMaxCachedEntries) Clear();
-    const std::vector<Engine*>& order = orders_.emplace(key, Sorted(engines, key)).first->second;
-    entries_ += order.size();
-    return order;
+    const std::size_t bytes = kBytesPerOrder + engines.size() * sizeof(Engine*);
+    if (cached_bytes_ + bytes > kMaxCachedBytes) Clear();
+    cached_bytes_ += bytes;
+    return orders_.emplace(key, Sorted(engines, key)).first->second;
   }
 
   static std::vector<Engine*> Sorted(std::map<EngineId, Engine>& engines, std::uint64_t key) {
@@ -67,7 +70,7 @@
   }
 
   std::unordered_map<std::uint64_t, std::vector<Engine*>> orders_;
-  std::size_t entries_ = 0;  // pointers in all orders
+  std::size_t cached_bytes_ = 0;  // of all orders, approximate
 };
 
 }  // namespace lemoncroft::subset
--- a/tests/subset_test.cpp
+++ b/tests/subset_test.cpp
@@ -2,6 +2,7 @@
 #include "decision/subset/subset.h"
 
 #include <gtest/gtest.h>
+#include <malloc.h>
 
 #include <algorithm>
 #include <map>
@@ -119,13 +120,27 @@
 TEST(RankingCache, ManyKeys_DoNotExceedBound) {
   RankedEngines engines = EnginesTo(4400);
   subset::RankingCache<RankedEngine> cache;
-  const std::size_t keys = 2 * cache.kMaxCachedEntries / engines.size();
+  const std::size_t keys = 2 * cache.kMaxCachedBytes / sizeof(void*) / engines.size();
   for (std::uint64_t key = 0; key < keys; ++key) {
     cache.Rank(engines, key, [](const RankedEngine&) { return true; });
-    ASSERT_LE(cache.entries(), cache.kMaxCachedEntries);
+    ASSERT_LE(cache.cached_bytes(), cache.kMaxCachedBytes);
   }
 }
 
+// Guards against memory that grows with the table groups that a client names: with few engines, an order's
+// overhead is far more than its pointers.
+TEST(RankingCache, ManyKeysOfFewEngines_OccupyNoMoreThanBound) {
+  RankedEngines engines = EnginesTo(1);
+  subset::RankingCache<RankedEngine> cache;
+  const std::size_t before = ::mallinfo2().uordblks;
+  std::size_t most = before;
+  for (std::uint64_t key = 0; key < 300'000; ++key) {
+    cache.Rank(engines, key, [](const RankedEngine&) { return true; });
+    if (key % 1000 == 0) most = std::max(most, ::mallinfo2().uordblks);
+  }
+  EXPECT_LT(most - before, 2 * cache.kMaxCachedBytes);
+}
+
 // Table loads use only the last half of the order. An engine that is listed later must get its rank.
 TEST(RankingCache, EndpointListChange_RanksEnginesAgain) {
   Settings s = DefaultSettings();
