Let the scenarios' engine answer a call that the proxy repeats

Trace: the poll for the result came at 23.86, the scenario answers it behind the upgrade and a wait of 150 ms, at 24.27 or later; the proxy gives a poll up after 300 ms and repeats it on a new connection. The scenario's engine answered the connection that was gone.

Change: where the connection of the call that was expected last has ended, the engine waits for the same call to come again and answers that. As strict as before: the same answer to the same call, and a call that isn't repeated, as a statement never is, fails the scenario.

The failure wasn't brought about again.

--- a/tests/scenario_server.cpp
+++ b/tests/scenario_server.cpp
@@ -7,6 +7,10 @@
 
 namespace lemoncroft::scenario {
 
+namespace {
+constexpr std::string_view kHttpVersion = " HTTP/1.1";
+}
+
 using runtime::Descriptor;
 
 void Server::Expect(const Words& words) {
@@ -20,6 +24,7 @@
       AwaitRequest(words[2], words.size() > 3 ? words[3] : "", arguments.Timeout(kExpectTimeout));
   if (!request) Fail("the expected request did not arrive; pending requests: " + PendingRequests());
   last_connection_ = request->connection;
+  last_request_line_ = request->text.substr(0, request->text.find(kHttpVersion));
   const std::size_t end = request->text.find("\r\n\r\n");
   for (const auto& [name, value] : arguments.values) {
     if (name == "within") continue;
@@ -33,6 +38,9 @@
 }
 
 void Server::Send(const Words& words) {
+  while (Poll(Clock::now())) {
+  }
+  AwaitRepetition();
   const int fd = connections_.at(last_connection_).fd.get();
   if (words[2] == "raw") {
     SendAll(fd, words.at(3));
@@ -46,6 +54,16 @@
   SendAll(fd, out + "\r\n" + body);
 }
 
+void Server::AwaitRepetition() {
+  while (!connections_.contains(last_connection_)) {
+    const std::size_t blank = last_request_line_.find(' ');
+    const auto request = AwaitRequest(last_request_line_.substr(0, blank),
+                                      last_request_line_.substr(blank + 1), kExpectTimeout);
+    if (!request) Fail("the caller gave up and didn't repeat " + last_request_line_);
+    last_connection_ = request->connection;
+  }
+}
+
 void Server::Close(const Words& words) {
   const bool all = words[2] == "all";
   for (auto& [number, connection] : connections_) {
--- a/tests/scenario_server.h
+++ b/tests/scenario_server.h
@@ -20,7 +20,8 @@
 
   // Runs a step `expect METHOD PATH [NAME=VALUE...]` or `expect nothing METHOD MILLISECONDS`.
   void Expect(const Words& words);
-  // Responds to the last expected request: `send STATUS [NAME=VALUE...]` or `send raw TEXT`.
+  // Responds to the last expected request, or to its repetition if the caller has closed its connection
+  // meanwhile: `send STATUS [NAME=VALUE...]` or `send raw TEXT`.
   void Send(const Words& words);
   // Resets the connection of the last expected request. `close all` resets all connections and closes the
   // listening socket, as happens when a process dies.
@@ -43,12 +44,15 @@
   bool Poll(Clock::time_point deadline);
   // Returns false if the connection has ended.
   bool ReadRequests(int number, Connection& connection);
+  // Returns when the connection of the last expected request, or of a repetition of it, is open.
+  void AwaitRepetition();
   std::string PendingRequests() const;
 
   ListeningSocket listening_ = Listen();
   std::map<int, Connection> connections_;
   std::vector<Request> requests_;
   int next_connection_ = 0, last_connection_ = -1;  // numbers of connections
+  std::string last_request_line_;                   // of the last expected request, without the version
 };
 
 }  // namespace lemoncroft::scenario
