Test the requests of a client that has left within one turn of the loop

The test asked more than the code promises.

Change: FrontendTest sends and closes within one turn of the server's own loop, so that the end is known whenever the requests are read: as strict (not even submitted), without a race. A second test makes sure that the same requests are submitted while the client waits.

--- a/tests/frontend_test.cpp
+++ b/tests/frontend_test.cpp
@@ -3,6 +3,7 @@
 #include <sys/socket.h>
 
 #include <string>
+#include <utility>
 
 #include "codec/frame.h"
 #include "frontend/frame_server.h"
@@ -25,6 +26,14 @@
     limits.max_total_unread_bytes = kMaxTotalUnreadBytes;
     return limits;
   }
+  static settings::Site MakeSite() {
+    settings::Site site;
+    site.classes = {"lookup"};
+    ClassSettings lookup;
+    lookup.client_timeout = 3'000'000'000;
+    site.module.classes = {lookup};
+    return site;
+  }
   static runtime::Address AnyPort() { return *runtime::Address::Parse("127.0.0.1:0"); }
 
   Task<> ConnectClient(std::unique_ptr<runtime::Socket>& client) {
@@ -49,7 +58,7 @@
   }
 
   runtime::Loop loop_;
-  settings::ActiveSettings site_{settings::Site()};
+  settings::ActiveSettings site_{MakeSite()};
   discovery::EndpointDirectory directory_{site_};
   metrics::Counters counters_;
   backend::Engines engines_{loop_, directory_, {64, 1s, {}}, 100ms, counters_};
@@ -59,6 +68,58 @@
   frontend::FrameServer server_{loop_, std::move(listener_), site_, broker_, counters_, MakeLimits()};
 };
 
+// Returns a valid request of 20 kB.
+std::string MakeRequestFrame(std::uint32_t stream) {
+  std::string payload(1, '\3');
+  for (const auto& [name, value] : {std::pair<std::string, std::string>{"verb", "lookup"},
+                                    {"team", "acme"},
+                                    {"txn", std::to_string(1'000'000'000'000'000 + stream)}}) {
+    payload += static_cast<char>(name.size()) + name;
+    payload += static_cast<char>(value.size());
+    payload += '\0' + value;
+  }
+  std::string frame;
+  codec::WriteFrame(frame, codec::kRequestFrame, stream, payload + std::string(20'000, 'x'));
+  return frame;
+}
+
+// Guards against requests that are sent on although their client has left, with its input still unread. The
+// client sends and leaves within one turn of the loop, so that the server reads nothing before.
+TEST_F(FrontendTest, RequestsOfClientThatLeft_NotReadYet_AreNotSubmitted) {
+  server_.Start();
+  const auto send_and_leave = [&]() -> Task<> {
+    std::unique_ptr<runtime::Socket> client;
+    co_await ConnectClient(client);
+    co_await loop_.Sleep(20ms);  // the server has accepted the connection
+    const std::string frames = MakeRequestFrame(1) + MakeRequestFrame(2);
+    std::size_t written = 0;
+    EXPECT_EQ(co_await client->Write(frames, written, Now() + 1s), IoResult::kOk);
+    client.reset();
+    co_await loop_.Sleep(200ms);
+    loop_.Stop();
+  };
+  loop_.Spawn(send_and_leave());
+  loop_.Run();
+  EXPECT_EQ(counters_.classes().count("lookup"), 0u);
+}
+
+TEST_F(FrontendTest, RequestsOfClientThatWaits_AreSubmitted) {
+  server_.Start();
+  const auto send = [&]() -> Task<> {
+    std::unique_ptr<runtime::Socket> client;
+    co_await ConnectClient(client);
+    const std::string frames = MakeRequestFrame(1) + MakeRequestFrame(2);
+    std::size_t written = 0;
+    EXPECT_EQ(co_await client->Write(frames, written, Now() + 1s), IoResult::kOk);
+    co_await loop_.Sleep(200ms);
+    loop_.Stop();
+  };
+  loop_.Spawn(send());
+  loop_.Run();
+  ASSERT_EQ(counters_.classes().count("lookup"), 1u);
+  EXPECT_EQ(counters_.classes().at("lookup").received, 2u);
+}
+
 // Guards against a client that loses its connection since others don't read: the limit on the unread
 // output of all clients must fall on those that have caused it.
 TEST_F(FrontendTest, UnreadOutput_BeyondTotalLimit_EndsOnlyConnectionsThatDontRead) {
