--- a/src/cli/state_command.cpp
+++ b/src/cli/state_command.cpp
@@ -7,7 +7,7 @@
 #include <nlohmann/json.hpp>
 #include <sstream>
 
-#include "proxy/state_file.h"
+#include "proxy/unix_time.h"
 
 namespace lemoncroft::cli {
 
--- a/src/proxy/fleet_state.cpp
+++ b/src/proxy/fleet_state.cpp
@@ -9,7 +9,7 @@
 #include <utility>
 #include <vector>
 
-#include "proxy/state_file.h"
+#include "proxy/unix_time.h"
 #include "runtime/loop.h"
 
 namespace lemoncroft::proxy {
--- a/src/proxy/hot_restart.cpp
+++ b/src/proxy/hot_restart.cpp
@@ -12,6 +12,7 @@
 #include "backend/engine_protocol.h"
 #include "hot_restart/process_limits.h"
 #include "proxy/config_fields.h"
+#include "proxy/ejection_request_store.h"
 #include "proxy/resource_limits.h"
 #include "runtime/socket.h"
 
@@ -58,6 +59,16 @@
   return std::make_unique<hot_restart::OrderingKeyTurns>(std::move(file), hold_times, Now());
 }
 
+// Returns null if `tmpdir` is null or can't be used.
+std::unique_ptr<hot_restart::SharedFile> OpenEjectionRequests(const char* tmpdir) {
+  auto file =
+      tmpdir == nullptr ? nullptr : hot_restart::SharedFile::Open(tmpdir, EjectionRequestStore::kFileName);
+  if (file == nullptr)
+    spdlog::warn(
+        "$TMPDIR cannot be used: manual ejections that the fleet has not agreed on are lost by a restart");
+  return file;
+}
+
 }  // namespace
 
 runtime::Descriptor InheritListener(const std::string& descriptor_number) {
@@ -72,8 +83,10 @@
   if (tmpdir != nullptr) registry = std::make_unique<hot_restart::ProcessRegistry>(tmpdir);
   if (registry == nullptr || !registry->registered())
     spdlog::warn("$TMPDIR cannot be used: the processes of a hot restart do not see each other");
-  // If there is a replicated configuration, manual ejections are part of it.
-  if (tmpdir != nullptr && !operator_file.replicated_config)
+  // If there is a replicated configuration, manual ejections become part of it.
+  if (operator_file.replicated_config)
+    shared.ejection_requests = OpenEjectionRequests(tmpdir);
+  else if (tmpdir != nullptr)
     operations.EnableEjectionStore(
         tmpdir, decision::ToDuration(site.module.slow_start_duration + site.module.overload_window));
   // This comes before the first endpoint list, because the predecessor may just have sent as many requests to
--- a/src/proxy/hot_restart.h
+++ b/src/proxy/hot_restart.h
@@ -16,6 +16,7 @@
 #include "frontend/frame_server.h"
 #include "hot_restart/ordering_key_turns.h"
 #include "hot_restart/process_registry.h"
+#include "hot_restart/shared_file.h"
 #include "operator_config/operator_file.h"
 #include "proxy/operations.h"
 #include "proxy/reload.h"
@@ -32,11 +33,15 @@
 struct SharedState {
   std::unique_ptr<hot_restart::ProcessRegistry> registry;
   std::unique_ptr<hot_restart::OrderingKeyTurns> ordering_key_turns;  // used by the broker
+  // The operators' manual ejections that no active version contains yet. Null without a replicated
+  // configuration.
+  std::unique_ptr<hot_restart::SharedFile> ejection_requests;
 };
 
 // Registers this process with the other processes of the proxy, and has the broker keep the order of ordering
-// keys with them. Imports the manual ejections that these have stored, unless they are part of a replicated
-// configuration. Must be called before the first endpoint list is applied and before the broker is started.
+// keys with them. Imports the manual ejections that these have stored; those of a replicated configuration
+// are in SharedState::ejection_requests. Must be called before the first endpoint list is applied and before
+// the broker is started.
 SharedState JoinOtherProcesses(const operator_config::OperatorFile& operator_file, const settings::Site& site,
                                Operations& operations, broker::Broker& broker);
 
--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -89,7 +89,7 @@
 
 std::unique_ptr<ReplicatedConfigService> MakeReplicatedConfigService(
     runtime::Loop& loop, Fleet& fleet, const operator_config::ReplicatedConfigSettings& settings,
-    ReloadableState& state) {
+    ReloadableState& state, std::unique_ptr<hot_restart::SharedFile> shared_ejections) {
   ReplicatedConfigService::LocalConfig local;
   local.site = [&state]() -> const settings::Site& { return state.config.site; };
   local.queue = [&state]() -> const admission_queue::Settings* {
@@ -99,13 +99,15 @@
     ActivateDocument(loop, state, document);
   };
   return std::make_unique<ReplicatedConfigService>(loop, fleet, settings, state.config.name, state.directory,
-                                                   state.on_endpoint_update, std::move(local));
+                                                   state.on_endpoint_update, std::move(local),
+                                                   std::move(shared_ejections));
 }
 
 std::unique_ptr<ReplicatedConfigService> StartReplicatedConfig(
     runtime::Loop& loop, Fleet& fleet, const operator_config::ReplicatedConfigSettings& settings,
-    ReloadableState& state, Operations& operations) {
-  auto service = MakeReplicatedConfigService(loop, fleet, settings, state);
+    ReloadableState& state, Operations& operations,
+    std::unique_ptr<hot_restart::SharedFile> shared_ejections) {
+  auto service = MakeReplicatedConfigService(loop, fleet, settings, state, std::move(shared_ejections));
   state.replicated_config_service = service.get();
   state.broker.set_lease_fence(service.get());
   operations.set_ejections_replicated();
@@ -222,7 +224,8 @@
                         .fleet_settings = fleet ? &fleet->settings() : nullptr};
   if (operator_file.admission_queue) StartQueueReports(loop, *operator_file.admission_queue, state);
   if (operator_file.replicated_config)
-    service = StartReplicatedConfig(loop, *fleet, *operator_file.replicated_config, state, operations);
+    service = StartReplicatedConfig(loop, *fleet, *operator_file.replicated_config, state, operations,
+                                    std::move(shared.ejection_requests));
   loop.Spawn(endpoint_watch.Run());
   loop.Spawn(engines.pool().CloseExpired());
   broker.Start();
--- a/src/proxy/queue_state.cpp
+++ b/src/proxy/queue_state.cpp
@@ -4,8 +4,8 @@
 #include <nlohmann/json.hpp>
 #include <optional>
 
-#include "proxy/state_file.h"
 #include "proxy/state_writer.h"
+#include "proxy/unix_time.h"
 
 namespace lemoncroft::proxy {
 
--- a/src/proxy/replicated_config_calls.cpp
+++ b/src/proxy/replicated_config_calls.cpp
@@ -4,7 +4,7 @@
 
 #include "proxy/replicated_config_call_fields.h"
 #include "proxy/replicated_config_service.h"
-#include "proxy/state_file.h"
+#include "proxy/unix_time.h"
 
 namespace lemoncroft::proxy {
 
@@ -66,8 +66,9 @@
                       {"votes", replica_.raft() != nullptr},
                       {"asked_by_hand", ordered_json::object()},
                       {"proxies", ordered_json::array()}};
-  for (const auto& [engine, ejection] : manual_ejections_)
-    out["asked_by_hand"][engine] = ejection.ejected ? "exclude" : "include";
+  for (const replicated_config::EjectionRequest& request : ejections_.pending())
+    out["asked_by_hand"][request.engine] =
+        request.action == replicated_config::EjectionAction::kEject ? "exclude" : "include";
   if (const raft::Raft* raft = replica_.raft()) {
     out["voters"] = raft->voters();
     out["term"] = raft->term();
--- a/src/proxy/replicated_config_service.cpp
+++ b/src/proxy/replicated_config_service.cpp
@@ -6,7 +6,7 @@
 #include <random>
 
 #include "proxy/config.h"
-#include "proxy/state_file.h"
+#include "proxy/unix_time.h"
 #include "proxy/voter_store.h"
 
 namespace lemoncroft::proxy {
@@ -85,7 +85,8 @@
                                                  const std::string& name,
                                                  discovery::EndpointDirectory& directory,
                                                  discovery::EndpointDirectory::UpdateCallback on_update,
-                                                 LocalConfig local_config)
+                                                 LocalConfig local_config,
+                                                 std::unique_ptr<hot_restart::SharedFile> shared_ejections)
     : loop_(loop),
       fleet_(fleet),
       settings_(settings),
@@ -96,7 +97,8 @@
       document_checks_(MakeDocumentChecks()),
       replica_(ReplicaOptionsOf(settings, name), fleet.view().members().self(), document_checks_,
                RandomNonZero(), Now()),
-      notification_pacer_(RandomNonZero()) {
+      notification_pacer_(RandomNonZero()),
+      ejections_(loop, *this, name, std::move(shared_ejections), [this] { ApplyEjections(); }) {
   const bool is_voter =
       std::find(settings.voters.begin(), settings.voters.end(), name) != settings.voters.end();
   if (is_voter && settings.store.empty())
@@ -122,7 +124,7 @@
   }
   loop_.Spawn(RunTimers());
   loop_.Spawn(PublishState());
-  loop_.Spawn(ReconcileManualEjections());
+  ejections_.Start();
 }
 
 void ReplicatedConfigService::Shutdown() {
@@ -284,13 +286,26 @@
   }
   document_ = *document;
   active_version_ = version;
-  std::erase_if(manual_ejections_, [&](const auto& ejection) {
-    return ejection.second.committed_version > 0 && ejection.second.committed_version <= version;
-  });
+  ejections_.OnActivated(version);
   ApplyEjections();
   spdlog::info("rules event=in_force version={} mono_us={}", version, ToMonotonicUs(Now()));
 }
 
+// An ejection requested here takes effect here at once; a return to service takes effect only with the
+// version that contains it.
+void ReplicatedConfigService::ApplyEjections() {
+  directory_.ImportEjections(ejections_.EjectedEngines(document_), {}, on_update_);
+}
+
+Task<admin::Reply> ReplicatedConfigService::ReplicateManualEjection(admin::Command call, admin::Reply reply) {
+  using admin::CommandType;
+  const bool changes_ejection =
+      call.type == CommandType::kEject || call.type == CommandType::kReturnToService;
+  if (!reply.accepted || !changes_ejection) co_return reply;
+  const bool was_ejected = directory_.IsEjected(call.engine);
+  co_return co_await ejections_.Replicate(std::move(call), std::move(reply), was_ejected);
+}
+
 std::optional<Version> ReplicatedConfigService::UsableVersion() const {
   const std::optional<Version> version = replica_.UsableVersion(Now());
   return version && *version == active_version_ ? version : std::nullopt;
@@ -412,6 +427,14 @@
   co_return *call->result;
 }
 
+Task<replicated_config::RequestCompleted> ReplicatedConfigService::ReadCommitted(Duration timeout) {
+  std::string id = NewRequestId();
+  pending_calls_[id] = std::make_shared<PendingCall>();
+  replica_.ReadCommitted(Now(), id, Now() + timeout);
+  DispatchOutputs();
+  co_return co_await AwaitCompletion(id);
+}
+
 Task<replicated_config::RequestCompleted> ReplicatedConfigService::Propose(
     replicated_config::ConfigChange change, Duration timeout) {
   std::string id = change.id;
--- a/src/proxy/replicated_config_service.h
+++ b/src/proxy/replicated_config_service.h
@@ -23,7 +23,9 @@
 #include "admin/listener.h"
 #include "discovery/endpoint_directory.h"
 #include "operator_config/operator_file.h"
+#include "proxy/ejection_replicator.h"
 #include "proxy/fleet.h"
+#include "proxy/fleet_config_client.h"
 #include "replicated_config/config_replica.h"
 #include "replicated_config/document.h"
 #include "replicated_config/notification_pacer.h"
@@ -32,7 +34,7 @@
 
 namespace lemoncroft::proxy {
 
-class ReplicatedConfigService : public request::LeaseFence {
+class ReplicatedConfigService : public request::LeaseFence, private FleetConfigClient {
  public:
   struct LocalConfig {
     std::function<const settings::Site&()> site;              // of this proxy's own configuration
@@ -40,11 +42,14 @@
     std::function<void(const replicated_config::Document&)> activate;  // applies a document; may throw
   };
 
-  // Throws ConfigError if this proxy is a voter without a store.
+  // `shared_ejections` is the file in which the processes of this proxy keep operators' manual ejections that
+  // are not active yet; null if there are no others. Throws ConfigError if this proxy is a voter without a
+  // store.
   ReplicatedConfigService(runtime::Loop& loop, Fleet& fleet,
                           const operator_config::ReplicatedConfigSettings& settings, const std::string& name,
                           discovery::EndpointDirectory& directory,
-                          discovery::EndpointDirectory::UpdateCallback on_update, LocalConfig local_config);
+                          discovery::EndpointDirectory::UpdateCallback on_update, LocalConfig local_config,
+                          std::unique_ptr<hot_restart::SharedFile> shared_ejections);
 
   void Start();
   // Transfers leadership to another voter if this proxy is the leader, because the process ends.
@@ -75,11 +80,6 @@
   static constexpr std::size_t kMaxPendingCalls = 64;
   static constexpr const char* kStateAttribute = "rules";  // gossip attribute with the versions in use here
 
-  struct ManualEjection {
-    bool ejected = false;
-    replicated_config::Version committed_version = 0;  // 0: not committed yet
-    std::string failure_reason;                        // reason why the last proposal was not committed
-  };
   struct PendingCall {
     runtime::ConditionVariable completed;
     std::optional<replicated_config::RequestCompleted> result;
@@ -92,7 +92,6 @@
   runtime::Task<> RunTimers();
   runtime::Task<> RunStore();
   runtime::Task<> PublishState();
-  runtime::Task<> ReconcileManualEjections();
   void DispatchOutputs();
   void HandleOutput(const replicated_config::ConfigReplicaOutput& output);
   void OnStoreOpened(storage::Worker::Completion& done);
@@ -105,12 +104,17 @@
   void ApplyEjections();  // those of the active version, and later ones requested here
   std::optional<replicated_config::Version> UsableVersion() const;
   bool PermittedInIsolation(const std::string& class_name, EngineId engine) const;
-  replicated_config::Document LatestDocument() const;
 
-  std::string NewRequestId() const;
-  runtime::Task<replicated_config::RequestCompleted> AwaitCompletion(std::string id);
+  replicated_config::Version latest_version() const override { return replica_.holder().latest_version(); }
+  const std::string* FindDocument(replicated_config::Version version) const override {
+    return replica_.FindDocument(version);
+  }
+  std::string NewRequestId() const override;
+  bool CanSubmitRequest() const override { return pending_calls_.size() < kMaxPendingCalls; }
   runtime::Task<replicated_config::RequestCompleted> Propose(replicated_config::ConfigChange change,
-                                                             runtime::Duration timeout);
+                                                             runtime::Duration timeout) override;
+  runtime::Task<replicated_config::RequestCompleted> ReadCommitted(runtime::Duration timeout) override;
+  runtime::Task<replicated_config::RequestCompleted> AwaitCompletion(std::string id);
   runtime::Task<std::string> HandleCall(std::string bytes);
   runtime::Task<std::string> HandleChangeCall(const nlohmann::ordered_json& call);
   runtime::Task<std::string> ForwardToVoter(std::string bytes);
@@ -131,7 +135,7 @@
   replicated_config::ConfigReplica replica_;
   replicated_config::NotificationPacer notification_pacer_;
   std::uint64_t peers_change_count_ = 0;  // change count of the member table at the last UpdatePeers()
-  runtime::ConditionVariable timer_changed_, ejections_changed_;
+  runtime::ConditionVariable timer_changed_;
   runtime::Time planned_deadline_ = runtime::kNever;
 
   std::unique_ptr<storage::Worker> worker_;
@@ -141,8 +145,7 @@
 
   replicated_config::Document document_;
   replicated_config::Version active_version_ = 0;
-  // By engine: the ejections and returns requested here that no version active here contains yet.
-  std::map<std::string, ManualEjection> manual_ejections_;
+  EjectionReplicator ejections_;
   std::map<std::string, std::shared_ptr<PendingCall>> pending_calls_;
   mutable std::uint64_t last_request_number_ = 0;
   std::uint64_t sends_ = 0, isolated_sends_ = 0, rejected_sends_ = 0, step_downs_ = 0;
--- a/src/proxy/state_writer.cpp
+++ b/src/proxy/state_writer.cpp
@@ -10,9 +10,14 @@
 #include <thread>
 #include <utility>
 
-#include "proxy/state_file.h"
+#include "runtime/replace_file.h"
 
 namespace lemoncroft::proxy {
+namespace {
+
+constexpr mode_t kStateFileMode = 0644;
+
+}  // namespace
 
 struct StateWriter::Shared {
   struct PendingFile {
@@ -33,7 +38,7 @@
         if (shared->ended) return;
         file = std::move(*std::exchange(shared->next, std::nullopt));
       }
-      const bool written = ReplaceFile(file.path, file.text);
+      const bool written = runtime::ReplaceFile(file.path, file.text, kStateFileMode);
       if (!written && !failure_logged)
         spdlog::warn("cannot write the state file {}: {}", file.path, std::strerror(errno));
       failure_logged = !written;
--- a/src/testing/fault_test/final_checks.h
+++ b/src/testing/fault_test/final_checks.h
@@ -4,6 +4,7 @@
 #ifndef LEMONCROFT_TESTING_FAULT_TEST_FINAL_CHECKS_H_
 #define LEMONCROFT_TESTING_FAULT_TEST_FINAL_CHECKS_H_
 
+#include <set>
 #include <string>
 #include <vector>
 
@@ -41,8 +42,17 @@
     std::string label;
     std::uint64_t version = 0;
   };
+  // A call that a proxy still proposes to the fleet.
+  struct ProposedEjection {
+    std::string proxy, engine;
+    bool ejected = false;
+    auto operator<=>(const ProposedEjection&) const = default;
+  };
   // Queries the state of all running proxies and returns a description of each deviation.
   runtime::Task<std::vector<std::string>> FindDeviations();
+  // Returns the operators' last calls that are neither part of the newest document nor still proposed by
+  // their proxy. `proposed` contains the calls that each proxy still proposes.
+  runtime::Task<std::vector<std::string>> FindLostEjections(std::set<ProposedEjection> proposed);
 
   runtime::Loop& loop_;
   const Trial& trial_;
--- a/src/testing/fault_test/lease_history.cpp
+++ b/src/testing/fault_test/lease_history.cpp
@@ -8,8 +8,14 @@
 #include "testing/fault_test/log_fields.h"
 
 namespace lemoncroft::fault_test {
+
+using namespace std::chrono_literals;
+
 namespace {
 
+// The time for which a proxy may still send to an engine that it has been told to avoid.
+constexpr runtime::Duration kDrainGrace = 250ms;
+
 // Texts of the proxy's log.
 constexpr std::string_view kActionText = " rules act=";
 constexpr std::string_view kActivationText = " rules event=in_force";
@@ -46,11 +52,12 @@
 
 }  // namespace
 
-void LeaseHistory::RecordLogLine(std::size_t process, std::string_view line) {
+void LeaseHistory::RecordLogLine(std::size_t process, const std::string& proxy, std::string_view line) {
   if (line.find(kActionText) != std::string_view::npos) {
     LeasedAction action;
     action.at = LogTime(line);
     action.process = process;
+    action.proxy = proxy;
     action.version = LeadingNumber(LogField(line, "version"));
     action.isolated = LogField(line, "act") == kIsolatedAction;
     action.engine = LogField(line, "engine");
@@ -82,6 +89,7 @@
   out.violations = conflicting_versions_;
   CheckContradictions(max_contradiction, out);
   CheckEjections(out);
+  CheckAcknowledgedEjections(out);
   if (!operations.empty()) CheckOperations(out);
   return out;
 }
@@ -128,6 +136,48 @@
   }
 }
 
+runtime::Time LeaseHistory::EndTimeOf(const ManualEjection& ejection) const {
+  runtime::Time end = runtime::kNever;
+  for (const ManualEjection& other : manual_ejections)
+    if (!other.ejected && other.engine == ejection.engine && other.returned > ejection.invoked)
+      end = std::min(end, other.invoked);
+  for (const Operation& operation : operations)
+    if (operation.kind == Operation::Kind::kChange && operation.returned > ejection.invoked)
+      end = std::min(end, operation.invoked);
+  return end;
+}
+
+void LeaseHistory::CheckAcknowledgedEjections(LeaseCheckResult& out) const {
+  for (const ManualEjection& ejection : manual_ejections) {
+    if (!ejection.ejected || ejection.returned == runtime::kNever) continue;
+    const runtime::Time end = EndTimeOf(ejection);
+    const auto sent = std::count_if(actions_.begin(), actions_.end(), [&](const LeasedAction& action) {
+      return action.engine == ejection.engine && action.proxy == ejection.proxy &&
+             action.at > ejection.returned + kDrainGrace && action.at < end;
+    });
+    if (sent > 0)
+      out.violations.push_back(std::to_string(sent) + " statements were sent to " + ejection.engine + " by " +
+                               ejection.proxy + ", which had acknowledged its ejection");
+  }
+}
+
+std::vector<ManualEjection> LeaseHistory::LastManualEjections() const {
+  std::vector<ManualEjection> last;
+  for (const ManualEjection& ejection : manual_ejections) {
+    const bool is_last =
+        std::none_of(manual_ejections.begin(), manual_ejections.end(),
+                     [&](const ManualEjection& other) {
+                       return &other != &ejection && other.engine == ejection.engine &&
+                              other.returned > ejection.invoked;
+                     }) &&
+        std::none_of(operations.begin(), operations.end(), [&](const Operation& operation) {
+          return operation.kind == Operation::Kind::kChange && operation.returned > ejection.invoked;
+        });
+    if (is_last) last.push_back(ejection);
+  }
+  return last;
+}
+
 std::vector<Operation> LeaseHistory::AllOperations() const {
   std::vector<Operation> all = operations;
   for (const auto& [version, id] : change_ids_) {
--- a/src/testing/fault_test/lease_history.h
+++ b/src/testing/fault_test/lease_history.h
@@ -23,16 +23,19 @@
 struct LeasedAction {
   runtime::Time at{};
   std::size_t process = 0;  // index in History::processes
+  std::string proxy;        // the name of that process
   std::uint64_t version = 0;
   bool isolated = false;  // the process had no lease and its version permits that
   std::string engine;
 };
 
-// A manual ejection, or the end of one, to which the fleet has agreed.
+// An acknowledged call for a manual ejection, or for the end of one.
 struct ManualEjection {
   std::string engine;
   bool ejected = false;
-  std::uint64_t version = 0;
+  std::uint64_t version = 0;  // 0: the response did not say that the fleet has agreed
+  std::string proxy;          // the proxy that was called
+  runtime::Time invoked{}, returned = runtime::kNever;
 };
 
 struct LeaseCheckResult {
@@ -50,12 +53,15 @@
   std::vector<Operation> operations;
   std::vector<ManualEjection> manual_ejections;
 
-  // Records a process's log line if it is about the replicated configuration.
-  void RecordLogLine(std::size_t process, std::string_view line);
+  // Records a log line of a process of `proxy` if it is about the replicated configuration.
+  void RecordLogLine(std::size_t process, const std::string& proxy, std::string_view line);
   LeaseCheckResult Check(runtime::Duration max_contradiction) const;
   // Returns the time at which the last of these processes activated the version or a later one; kNever if
   // one of them never did.
   runtime::Time ActivatedByAll(std::uint64_t version, const std::vector<std::size_t>& processes) const;
+  // Returns the last call for each engine whose effect is certain: no other call for that engine and no
+  // proposal of a document may have taken effect after it.
+  std::vector<ManualEjection> LastManualEjections() const;
   std::uint64_t newest_version() const { return newest_version_; }
   // By version: the time at which a leader first logged that the version is committed.
   const std::map<std::uint64_t, runtime::Time>& committed_at() const { return committed_at_; }
@@ -70,6 +76,11 @@
   void RecordCommit(std::string_view line);
   void CheckContradictions(runtime::Duration max_contradiction, LeaseCheckResult& out) const;
   void CheckEjections(LeaseCheckResult& out) const;
+  // Checks that no process of the proxy that acknowledged an ejection sends to the engine any more, until a
+  // call that may end the ejection.
+  void CheckAcknowledgedEjections(LeaseCheckResult& out) const;
+  // Returns the earliest time at which a later call may have ended the ejection.
+  runtime::Time EndTimeOf(const ManualEjection& ejection) const;
   void CheckOperations(LeaseCheckResult& out) const;
   // Returns the version that ended an ejection; the maximum value if none did.
   std::uint64_t EndVersionOf(const ManualEjection& ejection) const;
--- a/src/testing/fault_test/operator_client.cpp
+++ b/src/testing/fault_test/operator_client.cpp
@@ -114,9 +114,11 @@
     findings_.violations.push_back(proxy + " responded '" + answer + "' to " + call);
   if (Now() - begun > kMaxEjectionLatency + kSchedulingSlack)
     findings_.violations.push_back(proxy + " took more than a second to respond to " + call);
-  if (!answer.starts_with(kAcknowledgedVersion)) co_return;
-  const std::uint64_t version = std::strtoull(answer.c_str() + kAcknowledgedVersion.size(), nullptr, 10);
-  leases_.manual_ejections.push_back({engine, eject, version});
+  if (!answer.starts_with(kAcknowledged)) co_return;
+  std::uint64_t version = 0;
+  if (answer.starts_with(kAcknowledgedVersion))
+    version = std::strtoull(answer.c_str() + kAcknowledgedVersion.size(), nullptr, 10);
+  leases_.manual_ejections.push_back({engine, eject, version, proxy, begun, Now()});
 }
 
 Task<> OperatorClient::ChangeVoter(std::string proxy, std::string direction, std::string voter) {
--- a/src/testing/fault_test/trial_runner.cpp
+++ b/src/testing/fault_test/trial_runner.cpp
@@ -50,7 +50,7 @@
       relay_(loop_, links_, trial_.machines, environment_.gossip_port()),
       processes_(loop_, trial_, environment_, std::move(program), history_, findings_,
                  [this](const ProxyProcess& process, const std::string& line) {
-                   leases_.RecordLogLine(process.record, line);
+                   leases_.RecordLogLine(process.record, process.name, line);
                    file_rollout_.HandleLogLine(process, line);
                  }),
       link_faults_(loop_, links_, trial_.gossip_period),
--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -182,18 +182,40 @@
            " class=lookup engine=" + engine + " mono_us=" + std::to_string(1000 * ms);
   };
   fault_test::LeaseHistory leases;
-  leases.RecordLogLine(0, line("send", 1, "e1", 100));
-  leases.RecordLogLine(1, line("send", 2, "e1", 200));
-  leases.RecordLogLine(0, line("send", 1, "e1", 900));
+  leases.RecordLogLine(0, "n0", line("send", 1, "e1", 100));
+  leases.RecordLogLine(1, "n1", line("send", 2, "e1", 200));
+  leases.RecordLogLine(0, "n0", line("send", 1, "e1", 900));
   EXPECT_EQ(leases.Check(1200ms).stale_actions, 0u);
   EXPECT_DOUBLE_EQ(leases.Check(1200ms).max_contradiction_ms, 700);
-  leases.RecordLogLine(0, line("kept", 1, "e1", 5000));
+  leases.RecordLogLine(0, "n0", line("kept", 1, "e1", 5000));
   EXPECT_EQ(leases.Check(1200ms).stale_actions, 0u);
-  leases.RecordLogLine(0, line("again", 1, "e2", 1500));
+  leases.RecordLogLine(0, "n0", line("again", 1, "e2", 1500));
   EXPECT_EQ(leases.Check(1200ms).stale_actions, 1u);
   leases.manual_ejections.push_back({"e1", true, 2});
   EXPECT_EQ(leases.Check(2s).violations.size(), 1u) << "an action under version 2 used the ejected engine e1";
 }
 
+fault_test::ManualEjection EjectionCall(const char* proxy, bool ejected, std::uint64_t version, int from_ms,
+                                        int to_ms) {
+  const auto at = [](int ms) { return runtime::Time(std::chrono::milliseconds(ms)); };
+  return {"e1", ejected, version, proxy, at(from_ms), at(to_ms)};
+}
+
+TEST(LeaseHistory, SendAfterAnAcknowledgedEjection_IsAViolation) {
+  const auto line = [](int ms) {
+    return " debug rules act=send version=1 class=lookup engine=e1 mono_us=" + std::to_string(1000 * ms);
+  };
+  fault_test::LeaseHistory leases;
+  leases.manual_ejections.push_back(EjectionCall("n1", true, 0, 1000, 1100));
+  leases.RecordLogLine(0, "n1", line(1050));
+  leases.RecordLogLine(1, "n2", line(2000));
+  EXPECT_TRUE(leases.Check(1200ms).violations.empty()) << "n2 was not told";
+  leases.RecordLogLine(2, "n1", line(3000));
+  EXPECT_EQ(leases.Check(1200ms).violations.size(), 1u) << "a successor of n1 uses the engine";
+  leases.manual_ejections.push_back(EjectionCall("n2", false, 2, 2500, 2600));
+  EXPECT_TRUE(leases.Check(1200ms).violations.empty()) << "the ejection was ended before";
+  EXPECT_FALSE(leases.LastManualEjections().at(0).ejected);
+}
+
 }  // namespace
 }  // namespace lemoncroft
