--- a/src/proxy/ejection_replicator.cpp
+++ b/src/proxy/ejection_replicator.cpp
@@ -186,7 +186,7 @@
       replicated_config::ParseDocument(text == nullptr ? std::string_view() : *text).value_or(Document());
   const Document after = ApplyRequests(before, batch);
   if (after == before) {
-    Update([&](EjectionRequests& requests) { requests.Confirm(IdsOf(batch), base_version); });
+    co_await ConfirmInEffect(IdsOf(batch), base_version);
     co_return;
   }
   EjectionProposal proposal;
@@ -199,6 +199,22 @@
   Update([&](EjectionRequests& requests) { requests.Begin(proposal); });
 }
 
+Task<> EjectionReplicator::ConfirmInEffect(std::set<std::string> request_ids, Version version) {
+  if (!fleet_.CanSubmitRequest()) {
+    co_await loop_.Sleep(kRetryInterval);
+    co_return;
+  }
+  const RequestCompleted completion = co_await fleet_.ReadCommitted(kProposalTimeout);
+  if (!completion.read) {
+    RecordUnknown(request_ids, completion.outcome.reason);
+    co_await loop_.Sleep(kRetryInterval);
+  } else if (completion.read->latest_version == version) {
+    Update([&](EjectionRequests& requests) { requests.Confirm(request_ids, version); });
+  } else {
+    co_await loop_.Sleep(kDocumentPollInterval);
+  }
+}
+
 // Sends the proposal, which this process, its predecessor or its successor has stored, until its outcome is
 // known.
 Task<> EjectionReplicator::ResolveProposal() {
@@ -215,7 +231,7 @@
       break;
     case ChangeStatus::kConflict:
       Update([&](EjectionRequests& requests) { requests.Abandon(change_id); });
-      co_await loop_.Sleep(kRetryInterval);
+      co_await loop_.Sleep(kDocumentPollInterval);
       break;
     case ChangeStatus::kRejected:
       RecordRejection(proposal, completion.outcome.reason);
--- a/src/proxy/ejection_replicator.h
+++ b/src/proxy/ejection_replicator.h
@@ -1,9 +1,10 @@
 // Replicates the operators' manual ejections: an accepted request takes effect at this proxy first and is
 // proposed to the fleet until a version contains it.
 //
-// The proposal of a request is stored before it is sent and is repeated under the same id until its outcome
-// is known, also by a successor. So a request has its effect on the fleet once, and requests for an engine
-// have it in the order of their acceptance.
+// A request counts as committed only once the leader has committed a change that contains it, or has
+// confirmed that the latest version does. Its proposal is stored before it is sent and is repeated under the
+// same id until its outcome is known, also by a successor. So a request has its effect on the fleet once, and
+// requests for an engine have it in the order of their acceptance.
 //
 // Used on the event loop's thread; must outlive the loop's tasks.
 #ifndef LEMONCROFT_PROXY_EJECTION_REPLICATOR_H_
@@ -57,6 +58,7 @@
   runtime::Task<> WatchStore();
   runtime::Task<> ResolveProposal();
   runtime::Task<> StartProposal(std::vector<replicated_config::EjectionRequest> batch);
+  runtime::Task<> ConfirmInEffect(std::set<std::string> request_ids, replicated_config::Version version);
   std::vector<replicated_config::EjectionRequest> NextBatch() const;
   runtime::Time NextRetryAt() const;
   void RecordRejection(const replicated_config::EjectionProposal& proposal, const std::string& reason);
--- a/src/replicated_config/config_replica_requests.cpp
+++ b/src/replicated_config/config_replica_requests.cpp
@@ -55,11 +55,15 @@
   if (pending_requests_.erase(outcome.id) > 0) outputs_.push_back(RequestCompleted{outcome, std::move(read)});
 }
 
+// The outcome names the latest version that the leader knows. Without it, the next request of this proxy
+// would be based on an older version until the next renewal of its lease.
 void ConfigReplica::Handle(Time, InstanceId, const Message&, const ChangeResult& body) {
+  holder_.ObserveCommitted(body.outcome.version);
   CompleteRequest(body.outcome);
 }
 
 void ConfigReplica::Handle(Time, InstanceId, const Message&, const ReadResponse& body) {
+  holder_.ObserveCommitted(body.latest_version);
   CompleteRequest({body.id, ChangeStatus::kCommitted, body.latest_version, {}}, body);
 }
 
--- a/src/replicated_config/lease.h
+++ b/src/replicated_config/lease.h
@@ -16,6 +16,7 @@
 #ifndef LEMONCROFT_REPLICATED_CONFIG_LEASE_H_
 #define LEMONCROFT_REPLICATED_CONFIG_LEASE_H_
 
+#include <algorithm>
 #include <chrono>
 #include <cstdint>
 #include <deque>
@@ -75,6 +76,8 @@
   LeaseRenewal RequestRenewal(Time now);
   // Extends the lease, unless the grant does not match a pending renewal or is for an older version.
   void HandleGrant(Time now, const LeaseGrant& grant);
+  // Records that the leader has reported `version` as committed.
+  void ObserveCommitted(Version version) { latest_version_ = std::max(latest_version_, version); }
   // Records that the document of `version` is stored here and valid.
   void MarkPrepared(Version version);
 
@@ -84,7 +87,7 @@
   std::optional<Version> UsableVersion(Time now) const;
   // The active version as of the last grant, even if the lease has expired.
   Version active_version() const { return active_version_; }
-  // The latest committed version as of the last grant.
+  // The latest version that this holder knows to be committed.
   Version latest_version() const { return latest_version_; }
   Version prepared_version() const { return prepared_version_; }
   Time lease_expiry() const { return expiry_; }
--- a/src/testing/fault_test/lease_history.cpp
+++ b/src/testing/fault_test/lease_history.cpp
@@ -90,6 +90,7 @@
   CheckContradictions(max_contradiction, out);
   CheckEjections(out);
   CheckAcknowledgedEjections(out);
+  CheckEjectionOrder(out);
   if (!operations.empty()) CheckOperations(out);
   return out;
 }
@@ -161,6 +162,20 @@
   }
 }
 
+void LeaseHistory::CheckEjectionOrder(LeaseCheckResult& out) const {
+  for (const ManualEjection& earlier : manual_ejections) {
+    for (const ManualEjection& later : manual_ejections) {
+      if (earlier.version == 0 || later.version == 0 || earlier.returned >= later.invoked) continue;
+      const bool is_opposite = earlier.engine == later.engine && earlier.ejected != later.ejected;
+      if (later.version > earlier.version || (later.version == earlier.version && !is_opposite)) continue;
+      out.violations.push_back("a call for " + later.engine + " at " + later.proxy +
+                               " was answered with version " + std::to_string(later.version) +
+                               " after one for " + earlier.engine + " had been answered with version " +
+                               std::to_string(earlier.version));
+    }
+  }
+}
+
 std::vector<ManualEjection> LeaseHistory::LastManualEjections() const {
   std::vector<ManualEjection> last;
   for (const ManualEjection& ejection : manual_ejections) {
--- a/src/testing/fault_test/lease_history.h
+++ b/src/testing/fault_test/lease_history.h
@@ -79,6 +79,8 @@
   // Checks that no process of the proxy that acknowledged an ejection sends to the engine any more, until a
   // call that may end the ejection.
   void CheckAcknowledgedEjections(LeaseCheckResult& out) const;
+  // Checks that the versions in responses respect the order of the calls in real time.
+  void CheckEjectionOrder(LeaseCheckResult& out) const;
   // Returns the earliest time at which a later call may have ended the ejection.
   runtime::Time EndTimeOf(const ManualEjection& ejection) const;
   void CheckOperations(LeaseCheckResult& out) const;
--- a/tests/config_replica_test.cpp
+++ b/tests/config_replica_test.cpp
@@ -85,6 +85,19 @@
   }
 };
 
+// A proxy whose change was committed based its next one on an older version until it renewed its lease.
+TEST(ConfigReplica, Proposer_KnowsTheVersionOfItsChangeAtOnce) {
+  TestFleet fleet;
+  Version latest = 0;
+  for (int change = 1; change <= 5; ++change) {
+    const ChangeOutcome outcome =
+        fleet.AwaitOutcome(fleet.Propose(6, latest, "text " + std::to_string(change)));
+    ASSERT_EQ(outcome.status, ChangeStatus::kCommitted) << outcome.reason;
+    latest = outcome.version;
+    EXPECT_EQ(fleet.replica(6).holder().latest_version(), latest);
+  }
+}
+
 TEST(ConfigReplica, Change_IsActiveEverywhereSoon) {
   for (std::uint64_t seed = 1; seed <= 20; ++seed) {
     TestFleet fleet(seed);
--- a/tests/ejection_requests_test.cpp
+++ b/tests/ejection_requests_test.cpp
@@ -345,6 +345,63 @@
   runtime::Loop loop_;
 };
 
+// A proxy that was cut off answered "for the fleet" for an ejection that a version it had missed had ended,
+// and forgot it with that version (review 9).
+TEST_F(EjectionReplication, EngineEjectedInAnOldVersionAlone_IsNotConfirmed) {
+  Process process(loop_, leader_, "n4");
+  Play([&]() -> Task<> {
+    EXPECT_EQ((co_await Eject(process, "e1")), "for the fleet, version 1");
+    process.client.reachable = false;
+    leader_.Change([](Document& document) { document.ejected_engines.clear(); });
+    EXPECT_TRUE((co_await Eject(process, "e1")).starts_with("here; the fleet has not agreed yet"));
+    EXPECT_EQ(process.replicator.EjectedEngines({}), Engines{"e1"});
+    process.client.reachable = true;
+    co_await AwaitSettled(process);
+    EXPECT_EQ(EjectedByFleet(), Engines{"e1"});
+    EXPECT_EQ(leader_.latest(), 3u);
+  });
+}
+
+// Of calls in quick turn most had no effect, since they were compared with a version that was out of date.
+TEST_F(EjectionReplication, CallsInQuickTurn_EachHaveAnEffect) {
+  Process process(loop_, leader_, "n4");
+  Play([&]() -> Task<> {
+    for (Version version = 1; version <= 20; version += 2) {
+      EXPECT_EQ((co_await Eject(process, "e1")), "for the fleet, version " + std::to_string(version));
+      EXPECT_EQ((co_await Return(process, "e1")), "for the fleet, version " + std::to_string(version + 1));
+    }
+  });
+}
+
+// Calls that overlap were merged into one, and both were answered with its version.
+TEST_F(EjectionReplication, CallsAtOneTime_EachHaveAnEffectInTheirOrder) {
+  Process process(loop_, leader_, "n4");
+  std::vector<std::string> messages(4);
+  Play([&]() -> Task<> {
+    loop_.Spawn(process.Call(admin::CommandType::kEject, "e1", messages[0]));
+    loop_.Spawn(process.Call(admin::CommandType::kReturnToService, "e1", messages[1]));
+    loop_.Spawn(process.Call(admin::CommandType::kEject, "e1", messages[2]));
+    loop_.Spawn(process.Call(admin::CommandType::kEject, "e2", messages[3]));
+    co_await loop_.NextTurn();
+    co_await AwaitSettled(process);
+    co_await loop_.Sleep(50ms);
+    EXPECT_EQ(messages[0], "for the fleet, version 1");
+    EXPECT_EQ(messages[1], "for the fleet, version 2");
+    EXPECT_EQ(messages[2], "for the fleet, version 3");
+    EXPECT_EQ(messages[3], "for the fleet, version 1");
+    EXPECT_EQ(EjectedByFleet(), (Engines{"e1", "e2"}));
+  });
+}
+
+TEST_F(EjectionReplication, RepeatedCall_GetsTheSameAnswerAndHasNoSecondEffect) {
+  Process process(loop_, leader_, "n4");
+  Play([&]() -> Task<> {
+    EXPECT_EQ((co_await Eject(process, "e1")), "for the fleet, version 1");
+    EXPECT_EQ((co_await Eject(process, "e1")), "for the fleet, version 1");
+    EXPECT_EQ(leader_.latest(), 1u);
+  });
+}
+
 // A proposal whose response was lost was proposed a second time under another id, after an operator had ended
 // the ejection elsewhere.
 TEST_F(EjectionReplication, CommittedWithoutResponse_IsNotProposedAgain) {
@@ -407,6 +464,18 @@
   });
 }
 
+// Both processes of an upgrade propose; each call has one effect, wherever it is said.
+TEST_F(EjectionReplication, CallsAtBothProcesses_HaveTheirEffectOnce) {
+  Process one(loop_, leader_, "a", Open()), other(loop_, leader_, "b", Open());
+  Play([&]() -> Task<> {
+    EXPECT_EQ((co_await Eject(one, "e1")), "for the fleet, version 1");
+    EXPECT_EQ((co_await Return(other, "e1")), "for the fleet, version 2");
+    EXPECT_EQ((co_await Eject(other, "e1")), "for the fleet, version 3");
+    co_await AwaitSettled(one);
+    EXPECT_EQ(leader_.latest(), 3u);
+  });
+}
+
 // An ejection at one process takes effect in the other one too, while the fleet is out of reach.
 TEST_F(EjectionReplication, IsolatedProcesses_ShareEjectionsAndReturns) {
   Process one(loop_, leader_, "a", Open()), other(loop_, leader_, "b", Open());
