--- a/src/proxy/proxy.cpp
+++ b/src/proxy/proxy.cpp
@@ -103,11 +103,14 @@
                                                    std::move(shared_ejections));
 }
 
+// Returns null if the operator's file has no replicated configuration; it has one only beside a fleet.
 std::unique_ptr<ReplicatedConfigService> StartReplicatedConfig(
-    runtime::Loop& loop, Fleet& fleet, const operator_config::ReplicatedConfigSettings& settings,
-    ReloadableState& state, Operations& operations,
-    std::unique_ptr<hot_restart::SharedFile> shared_ejections) {
-  auto service = MakeReplicatedConfigService(loop, fleet, settings, state, std::move(shared_ejections));
+    runtime::Loop& loop, const std::unique_ptr<Fleet>& fleet,
+    const operator_config::OperatorFile& operator_file, ReloadableState& state, Operations& operations,
+    SharedState& shared) {
+  if (!operator_file.replicated_config) return nullptr;
+  auto service = MakeReplicatedConfigService(loop, *fleet, *operator_file.replicated_config, state,
+                                             std::move(shared.ejection_requests));
   state.replicated_config_service = service.get();
   state.broker.set_lease_fence(service.get());
   operations.set_ejections_replicated();
@@ -223,9 +226,7 @@
                         .own_queue_settings = {},
                         .fleet_settings = fleet ? &fleet->settings() : nullptr};
   if (operator_file.admission_queue) StartQueueReports(loop, *operator_file.admission_queue, state);
-  if (operator_file.replicated_config)
-    service = StartReplicatedConfig(loop, *fleet, *operator_file.replicated_config, state, operations,
-                                    std::move(shared.ejection_requests));
+  service = StartReplicatedConfig(loop, fleet, operator_file, state, operations, shared);
   loop.Spawn(endpoint_watch.Run());
   loop.Spawn(engines.pool().CloseExpired());
   broker.Start();
--- a/src/testing/fault_test/final_checks.h
+++ b/src/testing/fault_test/final_checks.h
@@ -6,6 +6,7 @@
 
 #include <set>
 #include <string>
+#include <tuple>
 #include <vector>
 
 #include "runtime/loop.h"
@@ -46,7 +47,9 @@
   struct ProposedEjection {
     std::string proxy, engine;
     bool ejected = false;
-    auto operator<=>(const ProposedEjection&) const = default;
+    bool operator<(const ProposedEjection& other) const {
+      return std::tie(proxy, engine, ejected) < std::tie(other.proxy, other.engine, other.ejected);
+    }
   };
   // Queries the state of all running proxies and returns a description of each deviation.
   runtime::Task<std::vector<std::string>> FindDeviations();
--- a/tests/ejection_requests_test.cpp
+++ b/tests/ejection_requests_test.cpp
@@ -37,6 +37,7 @@
 
 std::vector<std::string> IdsOf(const std::vector<EjectionRequest>& requests) {
   std::vector<std::string> ids;
+  ids.reserve(requests.size());
   for (const EjectionRequest& request : requests) ids.push_back(request.id);
   return ids;
 }
