--- a/src/proxy/proxy.h
+++ b/src/proxy/proxy.h
@@ -3,7 +3,7 @@
 // The other files of this folder: config; resource_limits (limits derived from the configuration); signals;
 // reload (SIGHUP, and activation of the replicated configuration); hot_restart (several processes of one
 // proxy); shutdown (SIGTERM); operations (operators' commands); fleet and fleet_state; replicated_config_*
-// and voter_store; queue_state, state_file and state_writer (state files).
+// and voter_store; queue_state and state_writer (state files).
 //
 // Everything runs on the thread that calls RunProxy, except for the writing of state files and the voter's
 // store. docs/architecture.md describes the parts and their ownership.
--- a/src/proxy/replicated_config_calls.cpp
+++ b/src/proxy/replicated_config_calls.cpp
@@ -1,4 +1,7 @@
-// The operators' calls to a ReplicatedConfigService: JSON objects sent over the peer transport.
+// The requests of a ReplicatedConfigService to the leader, and the operators' calls that cause them: JSON
+// objects sent over the peer transport.
+#include <spdlog/spdlog.h>
+
 #include <algorithm>
 #include <nlohmann/json.hpp>
 
@@ -114,6 +117,43 @@
   co_return ErrorResponse("no voter answers");
 }
 
+// ---- Requests to the leader ----
+
+std::string ReplicatedConfigService::NewRequestId() const {
+  return fmt::format("{}-{:08x}-{}", name_.substr(0, 24),
+                     static_cast<std::uint32_t>(fleet_.view().members().self() >> 32),
+                     ++last_request_number_);
+}
+
+Task<replicated_config::RequestCompleted> ReplicatedConfigService::AwaitCompletion(std::string id) {
+  const auto call = pending_calls_.at(id);
+  while (!call->result) co_await runtime::Waiter(loop_, &call->completed, runtime::kNever);
+  pending_calls_.erase(id);
+  co_return *call->result;
+}
+
+Task<replicated_config::RequestCompleted> ReplicatedConfigService::ReadCommitted(Duration timeout) {
+  std::string id = NewRequestId();
+  pending_calls_[id] = std::make_shared<PendingCall>();
+  replica_.ReadCommitted(Now(), id, Now() + timeout);
+  DispatchOutputs();
+  co_return co_await AwaitCompletion(id);
+}
+
+Task<replicated_config::RequestCompleted> ReplicatedConfigService::Propose(
+    replicated_config::ConfigChange change, Duration timeout) {
+  std::string id = change.id;
+  if (pending_calls_.size() >= kMaxPendingCalls || pending_calls_.contains(id))
+    co_return replicated_config::RequestCompleted{
+        {id, replicated_config::ChangeStatus::kRejected, 0, "too many calls at once"}, {}};
+  pending_calls_[id] = std::make_shared<PendingCall>();
+  replica_.ProposeChange(Now(), change, Now() + timeout);
+  DispatchOutputs();
+  co_return co_await AwaitCompletion(id);
+}
+
+// ---- Operators' calls ----
+
 // Proposes a document, changes the voters or reads the committed versions, and waits for the outcome. `call`
 // must outlive the task.
 Task<std::string> ReplicatedConfigService::HandleChangeCall(const ordered_json& call) {
--- a/src/proxy/replicated_config_service.cpp
+++ b/src/proxy/replicated_config_service.cpp
@@ -6,7 +6,6 @@
 #include <random>
 
 #include "proxy/config.h"
-#include "proxy/unix_time.h"
 #include "proxy/voter_store.h"
 
 namespace lemoncroft::proxy {
@@ -412,39 +411,4 @@
                std::chrono::duration_cast<std::chrono::milliseconds>(slowest_sync_).count())}};
 }
 
-// ---- Changes ----
-
-std::string ReplicatedConfigService::NewRequestId() const {
-  return fmt::format("{}-{:08x}-{}", name_.substr(0, 24),
-                     static_cast<std::uint32_t>(fleet_.view().members().self() >> 32),
-                     ++last_request_number_);
-}
-
-Task<replicated_config::RequestCompleted> ReplicatedConfigService::AwaitCompletion(std::string id) {
-  const auto call = pending_calls_.at(id);
-  while (!call->result) co_await runtime::Waiter(loop_, &call->completed, runtime::kNever);
-  pending_calls_.erase(id);
-  co_return *call->result;
-}
-
-Task<replicated_config::RequestCompleted> ReplicatedConfigService::ReadCommitted(Duration timeout) {
-  std::string id = NewRequestId();
-  pending_calls_[id] = std::make_shared<PendingCall>();
-  replica_.ReadCommitted(Now(), id, Now() + timeout);
-  DispatchOutputs();
-  co_return co_await AwaitCompletion(id);
-}
-
-Task<replicated_config::RequestCompleted> ReplicatedConfigService::Propose(
-    replicated_config::ConfigChange change, Duration timeout) {
-  std::string id = change.id;
-  if (pending_calls_.size() >= kMaxPendingCalls || pending_calls_.contains(id))
-    co_return replicated_config::RequestCompleted{
-        {id, replicated_config::ChangeStatus::kRejected, 0, "too many calls at once"}, {}};
-  pending_calls_[id] = std::make_shared<PendingCall>();
-  replica_.ProposeChange(Now(), change, Now() + timeout);
-  DispatchOutputs();
-  co_return co_await AwaitCompletion(id);
-}
-
 }  // namespace lemoncroft::proxy
