Trials: let the check by versions know the end of an ejection that waited

Its log: the `include` of e2 was called at 29.965 s and its version, 9, committed at 30.815 s, so that it was answered "ACK later" after 0.85 s. CheckEjections knows the end of an ejection from "for the fleet, version N" alone and took the engine for ejected for ever (1,842 sends under version 9). docs/operating-rules.md allows it: "the engine returns once the fleet has committed the change". Change: such an ejection ends with the next version that a change of the include's proxy brings about, by the change's id in the leader's log; up to that version the check is as strict as before. A unit test holds both sides.

--- a/src/testing/fault_test/lease_history.cpp
+++ b/src/testing/fault_test/lease_history.cpp
@@ -122,11 +122,19 @@
   }
 }
 
+std::uint64_t LeaseHistory::NextVersionBy(const std::string& proxy, std::uint64_t version) const {
+  for (auto it = change_ids_.upper_bound(version); it != change_ids_.end(); ++it)
+    if (it->second.starts_with(proxy + "-")) return it->first;
+  return std::numeric_limits<std::uint64_t>::max();
+}
+
 std::uint64_t LeaseHistory::EndVersionOf(const ManualEjection& ejection) const {
   std::uint64_t end = std::numeric_limits<std::uint64_t>::max();
-  for (const ManualEjection& later : manual_ejections)
-    if (!later.ejected && later.engine == ejection.engine && later.version > ejection.version)
-      end = std::min(end, later.version);
+  for (const ManualEjection& later : manual_ejections) {
+    if (later.ejected || later.engine != ejection.engine) continue;
+    if (later.version > ejection.version) end = std::min(end, later.version);
+    if (later.version == 0) end = std::min(end, NextVersionBy(later.proxy, ejection.version));
+  }
   return end;
 }
 
--- a/src/testing/fault_test/lease_history.h
+++ b/src/testing/fault_test/lease_history.h
@@ -86,6 +86,9 @@
   void CheckOperations(LeaseCheckResult& out) const;
   // Returns the version that ended an ejection; the maximum value if none did.
   std::uint64_t EndVersionOf(const ManualEjection& ejection) const;
+  // Returns the first version after `version` that a change of this proxy brought about; the maximum value if
+  // there is none. It bounds the effect of a call that the proxy had not had committed when it answered.
+  std::uint64_t NextVersionBy(const std::string& proxy, std::uint64_t version) const;
   // Returns the operators' calls and the changes that proxies proposed on their own.
   std::vector<Operation> AllOperations() const;
 
--- a/tests/document_test.cpp
+++ b/tests/document_test.cpp
@@ -201,6 +201,27 @@
   return {"e1", ejected, version, proxy, at(from_ms), at(to_ms)};
 }
 
+// A return that was answered "later" has no version in its answer; the proxy's next change has it.
+TEST(LeaseHistory, EjectionEndedByAWaitingReturn_EndsWithTheNextChangeOfItsProxy) {
+  const auto send = [](int version, int ms) {
+    return " debug rules act=send version=" + std::to_string(version) +
+           " class=lookup engine=e1 mono_us=" + std::to_string(1000 * ms);
+  };
+  const auto commit = [](int version, const char* change) {
+    return " info rules: version " + std::to_string(version) + " is committed, change " + change +
+           " mono_us=1";
+  };
+  fault_test::LeaseHistory leases;
+  leases.manual_ejections.push_back(EjectionCall("n1", true, 2, 1000, 1100));
+  leases.manual_ejections.push_back(EjectionCall("n2", false, 0, 1050, 1900));
+  leases.RecordLogLine(0, "n1", commit(3, "n3-1-1"));
+  leases.RecordLogLine(0, "n1", commit(4, "n2-1-1"));
+  leases.RecordLogLine(1, "n2", send(4, 2000));
+  EXPECT_TRUE(leases.Check(1200ms).violations.empty());
+  leases.RecordLogLine(2, "n3", send(3, 1950));
+  EXPECT_EQ(leases.Check(1200ms).violations.size(), 1u) << "version 3 ejects the engine";
+}
+
 TEST(LeaseHistory, SendAfterAnAcknowledgedEjection_IsAViolation) {
   const auto line = [](int ms) {
     return " debug rules act=send version=1 class=lookup engine=e1 mono_us=" + std::to_string(1000 * ms);
